--- /dev/null
+++ b/core/config/settings.go
@@ -0,0 +1,230 @@
+package config
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Role is the part that a process plays, as its settings name it.
+type Role string
+
+// Roles of settings.
+const (
+	RoleEntry    Role = "entry"
+	RoleAgent    Role = "agent"
+	RolePlatform Role = "platform" // a stand-in
+	RoleUpstream Role = "upstream" // a stand-in
+	RoleOperator Role = "operator" // the command line
+)
+
+// Settings are what one process must know before it can ask anyone: its own
+// addresses and place, its peers, the platform and the shared key.
+type Settings struct {
+	Role      Role
+	Name      string
+	Zone      string
+	Rack      string
+	HTTP      netip.AddrPort
+	Control   netip.AddrPort
+	Advertise netip.AddrPort   // control address as others reach it
+	Entries   []netip.AddrPort // control addresses
+	Store     netip.AddrPort
+	Key       []byte // of the control connections
+	Drain     DrainSettings
+	Log       LogSettings
+	Upstream  UpstreamSettings
+	Operator  OperatorSettings
+}
+
+// DrainSettings bound a planned stop.
+type DrainSettings struct {
+	Notice time.Duration // readiness is off before anything is closed
+	Limit  time.Duration
+}
+
+// LogSettings tell what is logged.
+type LogSettings struct {
+	Level string
+}
+
+// UpstreamSettings set up an upstream stand-in.
+type UpstreamSettings struct {
+	Agent        netip.AddrPort // the agent's HTTP address
+	Slots        int
+	Accelerators int
+	Connections  int
+	Services     []string
+	RunTime      time.Duration
+	Stragglers   int // percent of tasks that run StragglerTimes longer
+	Times        int
+	Errors       int // percent of tasks that fail
+	Seed         int
+}
+
+// OperatorSettings set up the command line.
+type OperatorSettings struct {
+	Entry netip.AddrPort // HTTP address of an entry
+	Token string
+}
+
+const minKey = 16 // bytes
+
+func addressField(p *netip.AddrPort) field {
+	return field{set: func(v string) error {
+		a, err := netip.ParseAddrPort(v)
+		if err != nil {
+			return &ValueError{Value: v, Reason: "is not an address such as 10.0.0.7:9000"}
+		}
+		*p = a
+		return nil
+	}}
+}
+
+func addressesField(p *[]netip.AddrPort) field {
+	return field{set: func(v string) error {
+		for _, text := range strings.Split(v, ",") {
+			var a netip.AddrPort
+			if err := addressField(&a).set(strings.TrimSpace(text)); err != nil {
+				return err
+			}
+			*p = append(*p, a)
+		}
+		return nil
+	}}
+}
+
+func listField(p *[]string) field {
+	return field{set: func(v string) error {
+		for _, text := range strings.Split(v, ",") {
+			if text = strings.TrimSpace(text); text == "" {
+				return &ValueError{Value: v, Reason: "holds an empty name"}
+			}
+			*p = append(*p, strings.TrimSpace(text))
+		}
+		return nil
+	}}
+}
+
+func keyField(p *[]byte) field {
+	return field{set: func(v string) error {
+		key, err := hex.DecodeString(v)
+		if err != nil || len(key) < minKey {
+			return &ValueError{Value: "key", Reason: "is not at least 32 hexadecimal digits"}
+		}
+		*p = key
+		return nil
+	}}
+}
+
+func levelField(p *string) field {
+	return field{set: func(v string) error {
+		switch v {
+		case "debug", "info", "warn", "error":
+			*p = v
+			return nil
+		default:
+			return &ValueError{Value: v, Reason: "is none of debug, info, warn, error"}
+		}
+	}}
+}
+
+// ParseSettings reads the settings of a process in the given role. It returns
+// a *FaultsError with every fault.
+func ParseSettings(role Role, src Source) (*Settings, error) {
+	p := &settingsParser{parser: parser{merged: merge([]Source{src}), cfg: &Config{}}, s: defaultSettings(role)}
+	for _, name := range p.order {
+		p.settingsSection(p.sections[name])
+	}
+	p.require(src.Name)
+	if len(p.faults) > 0 {
+		sortFaults(p.faults)
+		return nil, &FaultsError{Faults: p.faults}
+	}
+	if !p.s.Advertise.IsValid() {
+		p.s.Advertise = p.s.Control
+	}
+	return p.s, nil
+}
+
+func defaultSettings(role Role) *Settings {
+	return &Settings{
+		Role:     role,
+		Drain:    DrainSettings{Notice: time.Second, Limit: 30 * time.Second},
+		Log:      LogSettings{Level: "info"},
+		Upstream: UpstreamSettings{Slots: 8, Connections: 64, RunTime: 10 * time.Millisecond, Times: 50},
+	}
+}
+
+type settingsParser struct {
+	parser
+	s *Settings
+}
+
+func (p *settingsParser) settingsSection(sec *section) {
+	s := p.s
+	fields := map[string]map[string]field{
+		"process": {
+			"name":      textField(&s.Name),
+			"zone":      textField(&s.Zone),
+			"rack":      textField(&s.Rack),
+			"http":      addressField(&s.HTTP),
+			"control":   addressField(&s.Control),
+			"advertise": addressField(&s.Advertise),
+		},
+		"peers":    {"entries": addressesField(&s.Entries)},
+		"store":    {"address": addressField(&s.Store)},
+		"security": {"key": keyField(&s.Key)},
+		"drain": {
+			"notice": durationField(&s.Drain.Notice, 0, time.Hour),
+			"limit":  durationField(&s.Drain.Limit, 0, 24*time.Hour),
+		},
+		"log": {"level": levelField(&s.Log.Level)},
+		"upstream": {
+			"agent":             addressField(&s.Upstream.Agent),
+			"slots":             countField(&s.Upstream.Slots, 1, maxCount),
+			"accelerators":      countField(&s.Upstream.Accelerators, 0, maxCount),
+			"connections":       countField(&s.Upstream.Connections, 1, maxCount),
+			"services":          listField(&s.Upstream.Services),
+			"run_time":          durationField(&s.Upstream.RunTime, 0, maxDuration),
+			"straggler_percent": countField(&s.Upstream.Stragglers, 0, percent),
+			"straggler_times":   countField(&s.Upstream.Times, 1, maxCount),
+			"error_percent":     countField(&s.Upstream.Errors, 0, percent),
+			"seed":              countField(&s.Upstream.Seed, 0, maxQueue),
+		},
+		"operator": {
+			"entry": addressField(&s.Operator.Entry),
+			"token": textField(&s.Operator.Token),
+		},
+	}
+	known, ok := fields[sec.name]
+	if !ok {
+		p.fault(sec.file, sec.line, sec.name, "unknown section")
+		return
+	}
+	p.read(sec, known)
+}
+
+// require checks that the settings hold what the role needs.
+func (p *settingsParser) require(file string) {
+	s := p.s
+	needs := map[Role][]string{
+		RoleEntry:    {"process.name", "process.zone", "process.http", "process.control", "store.address", "security.key"},
+		RoleAgent:    {"process.name", "process.zone", "process.rack", "process.http", "process.control", "peers.entries", "store.address", "security.key"},
+		RolePlatform: {"process.http"},
+		RoleUpstream: {"process.http", "upstream.agent", "upstream.services"},
+	}
+	for _, need := range needs[s.Role] {
+		name, key, _ := strings.Cut(need, ".")
+		sec := p.sections[name]
+		line := 1
+		if sec != nil {
+			line = sec.line
+			if _, ok := sec.keys[key]; ok {
+				continue
+			}
+		}
+		p.fault(file, line, need, "missing for role %s", s.Role)
+	}
+}
--- /dev/null
+++ b/core/schedule/entity.go
@@ -0,0 +1,145 @@
+// Package schedule is the decision core of an entry: the tables of workers,
+// jobs and customers, and the systems that run over them each tick.
+//
+// It holds no clock, network or goroutine. The caller passes the time with
+// every event and carries out the decisions that Tick returns, so a recorded
+// trace replays to the same decisions.
+package schedule
+
+import (
+	"container/list"
+	"time"
+
+	"bramleythread/core/config"
+)
+
+// WorkerReport is what an agent says of its worker.
+type WorkerReport struct {
+	Name        string
+	Incarnation uint64
+	Sequence    uint64
+	Zone        string
+	Rack        string
+	Ready       bool
+	Draining    bool
+	Capacity    config.Demand
+	Free        config.Demand
+	Services    []string
+	Usage       []CustomerUsage
+}
+
+// CustomerUsage is what one customer uses of a worker. The Mine parts were
+// sent by this entry.
+type CustomerUsage struct {
+	Customer     string
+	Home         config.Demand
+	Borrowed     config.Demand
+	MineHome     config.Demand
+	MineBorrowed config.Demand
+}
+
+// Worker is one row of the worker table.
+type Worker struct {
+	Name     string
+	Zone     string
+	Rack     string
+	Ready    bool
+	Capacity config.Demand
+
+	incarnation    uint64
+	sequence       uint64
+	reported       time.Time
+	lastReady      time.Time
+	draining       bool
+	services       map[string]bool
+	others         config.Demand            // used by what other entries sent
+	mine           config.Demand            // used by what this entry sent
+	homes          map[string]config.Demand // from the plan
+	homeOthers     map[string]config.Demand
+	borrowedOthers map[string]config.Demand
+	homeMine       map[string]config.Demand
+	homed          config.Demand     // sum of homes
+	jobs           map[*Job]struct{} // placed by this entry
+	health         health
+	reservation    reservation
+}
+
+// free returns what can be placed without preemption.
+func (w *Worker) free() config.Demand {
+	return w.Capacity.Sub(w.others).Sub(w.mine)
+}
+
+// homeFree returns the part of a customer's home that its home work leaves.
+func (w *Worker) homeFree(customer string) config.Demand {
+	return w.homes[customer].Sub(w.homeOthers[customer]).Sub(w.homeMine[customer])
+}
+
+// Spec describes a job at submission.
+type Spec struct {
+	ID       string
+	Customer string
+	Service  string
+	Deadline time.Time
+}
+
+// jobState is how far a job has come.
+type jobState uint8
+
+const (
+	waiting jobState = iota
+	placed
+)
+
+// Job is one row of the job table.
+type Job struct {
+	Spec
+	Shape      config.Shape
+	Repeatable bool
+	Priority   config.Priority
+	Enqueued   time.Time
+	Attempt    int
+	Home       bool
+	Workers    []*Worker
+
+	state         jobState
+	element       *list.Element // in the lane
+	started       time.Time     // of the present attempt
+	notUntil      time.Time     // not placed before this time
+	excluded      map[string]bool
+	deadlineIndex int
+	delayIndex    int
+}
+
+// DecisionKind is the type of a decision.
+type DecisionKind uint8
+
+// Decisions that a tick makes.
+const (
+	Place DecisionKind = iota
+	Expire
+	Unplaceable
+)
+
+// Decision is what the caller must do with a job.
+type Decision struct {
+	Kind    DecisionKind
+	Job     string
+	Attempt int
+	Workers []string // in the global worker order
+	Home    bool
+	Reason  string // why these workers, or why none
+}
+
+// Refusal is the cause of a refused submission.
+type Refusal string
+
+// Causes of a refused submission.
+const (
+	Accepted        Refusal = ""
+	QueueFull       Refusal = "queue_full"
+	CustomerFull    Refusal = "customer_queue_full"
+	UnknownService  Refusal = "unknown_service"
+	UnknownCustomer Refusal = "unknown_customer"
+	NeverFits       Refusal = "shape_does_not_fit"
+	TooLate         Refusal = "deadline_cannot_be_met"
+)
--- /dev/null
+++ b/core/schedule/reserve.go
@@ -0,0 +1,112 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// reserveAfter is the wait at which a large job gets a reservation.
+const reserveAfter = time.Second
+
+// reservation keeps a worker for a waiting job. Other work may use the worker
+// only if it is expected to have ended by the given time.
+type reservation struct {
+	job *Job
+	end time.Time
+}
+
+func (s *Scheduler) clearReservations() {
+	for _, w := range s.order {
+		w.reservation = reservation{}
+	}
+}
+
+// reserve keeps workers for a job that could not be placed: those of the group
+// that is expected to be free the soonest.
+func (s *Scheduler) reserve(j *Job, now time.Time) {
+	if !s.policy.Reserve || now.Sub(j.Enqueued) < reserveAfter || s.overQuota(j) {
+		return
+	}
+	groups := [][]*Worker{s.order}
+	if j.Shape.SameRack {
+		groups = s.racks
+	}
+	var best []*Worker
+	var bestEnd time.Time
+	for _, g := range groups {
+		picked, end := s.soonest(j, now, g)
+		if picked != nil && (best == nil || end.Before(bestEnd)) {
+			best, bestEnd = picked, end
+		}
+	}
+	for _, w := range best {
+		w.reservation = reservation{job: j, end: bestEnd}
+	}
+}
+
+// soonest returns the workers of a group that are expected to have room for
+// the job first, and the time at which the last of them has.
+func (s *Scheduler) soonest(j *Job, now time.Time, group []*Worker) ([]*Worker, time.Time) {
+	type option struct {
+		w  *Worker
+		at time.Time
+	}
+	var options []option
+	for _, w := range group {
+		if w.reservation.job == nil && s.eligible(w, j, now) && j.Shape.Demand.Fits(w.Capacity) {
+			options = append(options, option{w: w, at: s.roomAt(w, j, now)})
+		}
+	}
+	if len(options) < j.Shape.Workers {
+		return nil, time.Time{}
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return a.at.Compare(b.at) })
+	options = options[:j.Shape.Workers]
+	picked := make([]*Worker, len(options))
+	for i, o := range options {
+		picked[i] = o.w
+	}
+	return picked, options[len(options)-1].at
+}
+
+// roomAt estimates when a worker has room for the job.
+func (s *Scheduler) roomAt(w *Worker, j *Job, now time.Time) time.Time {
+	free := w.free()
+	if j.Shape.Demand.Fits(free) {
+		return now
+	}
+	jobs := make([]*Job, 0, len(w.jobs))
+	for x := range w.jobs {
+		jobs = append(jobs, x)
+	}
+	slices.SortFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(s.expectedEnd(a, now).Compare(s.expectedEnd(b, now)), cmp.Compare(a.ID, b.ID))
+	})
+	for _, x := range jobs {
+		free = free.Add(x.Shape.Demand)
+		if j.Shape.Demand.Fits(free) {
+			return s.expectedEnd(x, now)
+		}
+	}
+	return now.Add(unknownRoom)
+}
+
+// unknownRoom is the assumed time until other entries' work makes room.
+const unknownRoom = 10 * time.Second
+
+// expectedEnd estimates when a placed job ends. One that has run longer than
+// expected is expected to run as long again.
+func (s *Scheduler) expectedEnd(j *Job, now time.Time) time.Time {
+	attained := now.Sub(j.started)
+	return j.started.Add(max(s.expected(j.Service), 2*attained))
+}
+
+// mayUse reports whether the job may use a worker that may be reserved.
+func (s *Scheduler) mayUse(w *Worker, j *Job, now time.Time) bool {
+	r := w.reservation
+	if r.job == nil || r.job == j {
+		return true
+	}
+	return !now.Add(s.expected(j.Service)).After(r.end)
+}
--- /dev/null
+++ b/core/schedule/tick.go
@@ -0,0 +1,178 @@
+package schedule
+
+import (
+	"time"
+
+	"bramleythread/core/config"
+)
+
+// Tick runs the systems and returns their decisions: first what has expired,
+// then what is placed. The caller carries out every decision.
+func (s *Scheduler) Tick(now time.Time) []Decision {
+	decisions := s.expire(now)
+	s.undelay(now)
+	if !s.dirty {
+		return decisions
+	}
+	s.dirty = false
+	return s.placeAll(now, decisions)
+}
+
+// NextTimer returns the time at which Tick has something to do without a new
+// event; ok is false if there is none.
+func (s *Scheduler) NextTimer() (at time.Time, ok bool) {
+	at, ok = s.deadlines.next()
+	if d, has := s.delayed.next(); has && (!ok || d.Before(at)) {
+		return d, true
+	}
+	return at, ok
+}
+
+// expire ends the waiting jobs whose deadline has passed.
+func (s *Scheduler) expire(now time.Time) []Decision {
+	var decisions []Decision
+	for j := s.deadlines.due(now); j != nil; j = s.deadlines.due(now) {
+		s.dequeue(j)
+		delete(s.jobs, j.ID)
+		decisions = append(decisions, Decision{Kind: Expire, Job: j.ID, Attempt: j.Attempt, Reason: "deadline"})
+	}
+	return decisions
+}
+
+// undelay returns the delayed jobs whose time has come to their lanes.
+func (s *Scheduler) undelay(now time.Time) {
+	for j := s.delayed.due(now); j != nil; j = s.delayed.due(now) {
+		s.lane(j).pushFront(j)
+		s.dirty = true
+	}
+}
+
+// placeAll places the heads of the lanes, the most pressing first, until
+// nothing more fits.
+func (s *Scheduler) placeAll(now time.Time, decisions []Decision) []Decision {
+	for _, l := range s.lanes {
+		l.blocked = l.jobs.Len() == 0
+	}
+	s.clearReservations()
+	for l := s.mostPressing(now); l != nil; l = s.mostPressing(now) {
+		j := l.head()
+		c, ok := s.find(j, now)
+		if !ok {
+			l.blocked = true
+			s.reserve(j, now)
+			continue
+		}
+		decisions = append(decisions, s.place(j, c, now))
+		l.blocked = l.jobs.Len() == 0
+	}
+	return decisions
+}
+
+func (s *Scheduler) place(j *Job, c candidate, now time.Time) Decision {
+	s.dequeue(j)
+	s.deadlines.remove(j)
+	j.state = placed
+	j.Attempt++
+	j.started = now
+	j.Workers = c.workers
+	j.Home = c.home
+	s.occupy(j)
+	names := make([]string, len(c.workers))
+	for i, w := range c.workers {
+		names[i] = w.Name
+	}
+	return Decision{Kind: Place, Job: j.ID, Attempt: j.Attempt, Workers: names, Home: c.home, Reason: c.reason}
+}
+
+// mostPressing returns the lane whose head is placed next, or nil.
+func (s *Scheduler) mostPressing(now time.Time) *lane {
+	var best *lane
+	var bestCost float64
+	for _, l := range s.lanes {
+		if l.blocked {
+			continue
+		}
+		cost := s.cost(l, now)
+		if best == nil || before(l, cost, best, bestCost) {
+			best, bestCost = l, cost
+		}
+	}
+	return best
+}
+
+// before orders lanes by class, cost and, to be total, by name.
+func before(a *lane, costA float64, b *lane, costB float64) bool {
+	if a.class != b.class {
+		return a.class < b.class
+	}
+	if costA != costB {
+		return costA < costB
+	}
+	if a.key.customer != b.key.customer {
+		return a.key.customer < b.key.customer
+	}
+	return a.key.service < b.key.service
+}
+
+// cost ranks a lane within its class; the least is placed first. Without any
+// rule it is the time at which the head arrived.
+func (s *Scheduler) cost(l *lane, now time.Time) float64 {
+	head := l.head()
+	if !s.policy.ShortFirst && !s.policy.FairShare {
+		return float64(head.Enqueued.UnixNano())
+	}
+	cost := 1.0
+	if s.policy.ShortFirst {
+		cost *= s.expected(l.key.service).Seconds()
+	}
+	if s.policy.FairShare {
+		cost *= 1 + s.share(l.key.customer)
+	}
+	if s.policy.Ageing > 0 {
+		cost /= 1 + now.Sub(head.Enqueued).Seconds()/s.policy.Ageing.Seconds()
+	}
+	return cost
+}
+
+// expected returns the run time that is expected of a service.
+func (s *Scheduler) expected(service string) time.Duration {
+	var declared time.Duration
+	if v := s.cfg.Service(service); v != nil && s.policy.Hints {
+		declared = v.RunTime
+	}
+	return s.runTimes(service).typical(declared)
+}
+
+// share returns what a customer uses, as a multiple of its weighted share of
+// the slots.
+func (s *Scheduler) share(customer string) float64 {
+	weight := 1
+	sum := 0
+	for i := range s.cfg.Customers {
+		c := &s.cfg.Customers[i]
+		sum += c.Weight
+		if c.Name == customer {
+			weight = c.Weight
+		}
+	}
+	if s.total.Slots == 0 || sum == 0 {
+		return 0
+	}
+	fair := float64(s.total.Slots) * float64(weight) / float64(sum)
+	return float64(s.used[customer].Slots) / fair
+}
+
+// overQuota reports whether a job would take its customer over its quota.
+func (s *Scheduler) overQuota(j *Job) bool {
+	c := s.cfg.Customer(j.Customer)
+	if c == nil || c.Quota == 0 {
+		return false
+	}
+	after := s.used[j.Customer].Add(s.demand(j))
+	return after.Accelerators > c.Quota
+}
+
+// demand returns what a job takes on all its workers together.
+func (s *Scheduler) demand(j *Job) config.Demand {
+	return j.Shape.Demand.Scale(j.Shape.Workers)
+}
--- /dev/null
+++ b/core/worker/table.go
@@ -0,0 +1,357 @@
+package worker
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"bramleythread/core/config"
+)
+
+// Table is the state of one worker. It is not safe for concurrent use.
+type Table struct {
+	capacity config.Demand
+	service  bool // the worker takes new tasks
+	version  uint64
+	homes    map[string]config.Demand
+	tasks    map[ID]*Task
+	sequence uint64
+}
+
+// NewTable returns the table of a worker that is out of service.
+func NewTable() *Table {
+	return &Table{homes: make(map[string]config.Demand), tasks: make(map[ID]*Task)}
+}
+
+// SetCapacity sets the worker's resources. Tasks that run keep theirs.
+func (t *Table) SetCapacity(d config.Demand) { t.capacity = d }
+
+// Capacity returns the worker's resources.
+func (t *Table) Capacity() config.Demand { return t.capacity }
+
+// SetService opens or closes the worker for new tasks.
+func (t *Table) SetService(on bool) { t.service = on }
+
+// Service reports whether the worker takes new tasks.
+func (t *Table) Service() bool { return t.service }
+
+// PlanVersion returns the version of the plan in force.
+func (t *Table) PlanVersion() uint64 { return t.version }
+
+// SetHomes puts a plan in force and reports whether it did; an older plan, or
+// one that is in force already, changes nothing. Work outside its customer's
+// new home becomes borrowed.
+func (t *Table) SetHomes(version uint64, homes map[string]config.Demand) bool {
+	if version <= t.version {
+		return false
+	}
+	t.version = version
+	t.homes = maps.Clone(homes)
+	t.assignHomes()
+	return true
+}
+
+// assignHomes gives the homes to the tasks that asked for them, oldest first.
+func (t *Table) assignHomes() {
+	used := make(map[string]config.Demand)
+	for _, x := range t.ordered() {
+		x.Home = false
+		if !x.askedHome || x.Phase == Stopping {
+			continue
+		}
+		sum := used[x.Customer].Add(x.Demand)
+		if sum.Fits(t.homes[x.Customer]) {
+			x.Home = true
+			used[x.Customer] = sum
+		}
+	}
+}
+
+// ordered returns the tasks in the order of their admission.
+func (t *Table) ordered() []*Task {
+	return slices.SortedFunc(maps.Values(t.tasks), func(a, b *Task) int {
+		return cmp.Compare(a.sequence, b.sequence)
+	})
+}
+
+// Task returns a copy of a row; ok is false if there is none.
+func (t *Table) Task(id ID) (task Task, ok bool) {
+	x, ok := t.tasks[id]
+	if !ok {
+		return Task{}, false
+	}
+	return *x, true
+}
+
+// Len returns the number of tasks.
+func (t *Table) Len() int { return len(t.tasks) }
+
+// Free returns what can be admitted without preemption. Tasks that stop still
+// hold their resources.
+func (t *Table) Free() config.Demand {
+	free := t.capacity
+	for _, x := range t.tasks {
+		free = free.Sub(x.Demand)
+	}
+	return config.Demand{Slots: max(free.Slots, 0), Accelerators: max(free.Accelerators, 0)}
+}
+
+// promised returns what is left when every stopping task has stopped.
+func (t *Table) promised() config.Demand {
+	left := t.capacity
+	for _, x := range t.tasks {
+		if x.Phase != Stopping {
+			left = left.Sub(x.Demand)
+		}
+	}
+	return left
+}
+
+// physical returns what no task occupies now; waiting tasks occupy nothing.
+func (t *Table) physical() config.Demand {
+	left := t.capacity
+	for _, x := range t.tasks {
+		if x.Phase != Waiting {
+			left = left.Sub(x.Demand)
+		}
+	}
+	return left
+}
+
+// Usage returns what each customer uses; mine is the entry whose part is
+// counted apart.
+func (t *Table) Usage(mine string) map[string]Usage {
+	sums := make(map[string]Usage)
+	for _, x := range t.tasks {
+		u := sums[x.Customer]
+		u.add(x, x.Entry == mine)
+		sums[x.Customer] = u
+	}
+	return sums
+}
+
+func (u *Usage) add(x *Task, mine bool) {
+	if x.Home {
+		u.Home = u.Home.Add(x.Demand)
+	} else {
+		u.Borrowed = u.Borrowed.Add(x.Demand)
+	}
+	switch {
+	case mine && x.Home:
+		u.MineHome = u.MineHome.Add(x.Demand)
+	case mine:
+		u.MineBorrowed = u.MineBorrowed.Add(x.Demand)
+	}
+}
+
+// Admit decides on a task. A task that asks for its customer's home is
+// admitted if the home has room, whoever else uses it now.
+func (t *Table) Admit(a Ask, now time.Time) Grant {
+	if !t.service {
+		return Grant{Refusal: OutOfService}
+	}
+	if _, ok := t.tasks[a.ID]; ok {
+		return Grant{Refusal: Duplicate}
+	}
+	if !a.Home {
+		return t.admitBorrowed(a, now)
+	}
+	return t.admitHome(a, now)
+}
+
+func (t *Table) admitBorrowed(a Ask, now time.Time) Grant {
+	if !a.Demand.Fits(t.Free()) {
+		return Grant{Refusal: Busy}
+	}
+	t.insert(a, now, false)
+	return Grant{Ready: true}
+}
+
+func (t *Table) admitHome(a Ask, now time.Time) Grant {
+	if !t.homeUsed(a.Customer).Add(a.Demand).Fits(t.homes[a.Customer]) {
+		return Grant{Refusal: NoHome}
+	}
+	victims, ok := t.victims(a)
+	if !ok {
+		return Grant{Refusal: Busy}
+	}
+	for _, id := range victims {
+		t.tasks[id].Phase = Stopping
+	}
+	x := t.insert(a, now, true)
+	t.promote()
+	return Grant{Ready: x.Phase == Held, Victims: victims}
+}
+
+func (t *Table) homeUsed(customer string) config.Demand {
+	var sum config.Demand
+	for _, x := range t.tasks {
+		if x.Customer == customer && x.Home && x.Phase != Stopping {
+			sum = sum.Add(x.Demand)
+		}
+	}
+	return sum
+}
+
+func (t *Table) insert(a Ask, now time.Time, home bool) *Task {
+	t.sequence++
+	x := &Task{
+		ID:        a.ID,
+		Entry:     a.Entry,
+		Customer:  a.Customer,
+		Demand:    a.Demand,
+		Home:      home,
+		Gang:      a.Gang,
+		Phase:     Held,
+		askedHome: home,
+		sequence:  t.sequence,
+	}
+	if home {
+		x.Phase = Waiting
+	}
+	if a.Limit > 0 {
+		x.Until = now.Add(a.Limit)
+	}
+	t.tasks[a.ID] = x
+	return x
+}
+
+// victims picks the borrowed tasks that must stop for a to fit: other
+// customers' before its own, single tasks before gangs, the newest first. A
+// task that turns out not to be needed is spared.
+func (t *Table) victims(a Ask) (ids []ID, ok bool) {
+	left := t.promised()
+	if a.Demand.Fits(left) {
+		return nil, true
+	}
+	var picked []*Task
+	for _, x := range t.borrowed(a.Customer) {
+		left = left.Add(x.Demand)
+		picked = append(picked, x)
+		if a.Demand.Fits(left) {
+			break
+		}
+	}
+	if !a.Demand.Fits(left) {
+		return nil, false
+	}
+	for _, x := range picked {
+		if without := left.Sub(x.Demand); a.Demand.Fits(without) {
+			left = without
+			continue
+		}
+		ids = append(ids, x.ID)
+	}
+	return ids, true
+}
+
+func (t *Table) borrowed(customer string) []*Task {
+	var rows []*Task
+	for _, x := range t.tasks {
+		if !x.Home && x.Phase != Stopping {
+			rows = append(rows, x)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *Task) int {
+		return cmp.Or(
+			compareBool(a.Customer == customer, b.Customer == customer),
+			compareBool(a.Gang, b.Gang),
+			cmp.Compare(b.sequence, a.sequence),
+		)
+	})
+	return rows
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// Start moves a held task to running and clears the limit of its hold. It
+// reports whether the task was held.
+func (t *Table) Start(id ID, now time.Time) bool {
+	x, ok := t.tasks[id]
+	if !ok || x.Phase != Held {
+		return false
+	}
+	x.Phase = Running
+	x.Started = now
+	x.Until = time.Time{}
+	return true
+}
+
+// Renew extends the hold or the lease of a task. It reports whether the task
+// exists and is not stopping.
+func (t *Table) Renew(id ID, until time.Time) bool {
+	x, ok := t.tasks[id]
+	if !ok || x.Phase == Stopping {
+		return false
+	}
+	x.Until = until
+	return true
+}
+
+// Stop marks a task as stopping. It reports whether that changed anything.
+func (t *Table) Stop(id ID) bool {
+	x, ok := t.tasks[id]
+	if !ok || x.Phase == Stopping {
+		return false
+	}
+	x.Phase = Stopping
+	return true
+}
+
+// Remove deletes a task that has ended. The events tell which waiting tasks
+// have their resources now.
+func (t *Table) Remove(id ID) []Event {
+	if _, ok := t.tasks[id]; !ok {
+		return nil
+	}
+	delete(t.tasks, id)
+	return t.promote()
+}
+
+// promote moves waiting tasks to held, in the order of their admission, as far
+// as the resources reach.
+func (t *Table) promote() []Event {
+	var events []Event
+	left := t.physical()
+	for _, x := range t.ordered() {
+		if x.Phase != Waiting {
+			continue
+		}
+		if !x.Demand.Fits(left) {
+			break
+		}
+		left = left.Sub(x.Demand)
+		x.Phase = Held
+		events = append(events, Event{Kind: BecameReady, ID: x.ID})
+	}
+	return events
+}
+
+// Tick expires holds and leases.
+func (t *Table) Tick(now time.Time) []Event {
+	var events []Event
+	for _, x := range t.ordered() {
+		if x.Until.IsZero() || now.Before(x.Until) || x.Phase == Stopping {
+			continue
+		}
+		if x.Phase == Running {
+			x.Phase = Stopping
+			events = append(events, Event{Kind: LeaseLapsed, ID: x.ID})
+			continue
+		}
+		delete(t.tasks, x.ID)
+		events = append(events, Event{Kind: HoldLapsed, ID: x.ID})
+	}
+	return append(events, t.promote()...)
+}
--- /dev/null
+++ b/core/worker/task.go
@@ -0,0 +1,102 @@
+// Package worker is the decision core of an agent: the tables of the tasks and
+// homes on one worker, and the systems that admit, preempt and expire tasks.
+//
+// It holds no clock, network or goroutine. The caller passes the time and
+// carries out the events that the functions return.
+package worker
+
+import (
+	"time"
+
+	"bramleythread/core/config"
+)
+
+// ID names one attempt at one request.
+type ID struct {
+	Request string
+	Attempt int
+}
+
+// Phase is how far a task has come.
+type Phase uint8
+
+// Phases of a task.
+const (
+	Waiting  Phase = iota // admitted; waits until preempted tasks have stopped
+	Held                  // admitted, its resources are free, not started
+	Running               // started
+	Stopping              // told to checkpoint and stop
+)
+
+// String returns the name of the phase.
+func (p Phase) String() string {
+	return [...]string{"waiting", "held", "running", "stopping"}[p]
+}
+
+// Task is one row of the task table.
+type Task struct {
+	ID        ID
+	Entry     string // the entry that sent it
+	Customer  string
+	Demand    config.Demand
+	Home      bool // inside its customer's home: cannot be preempted
+	Gang      bool
+	Phase     Phase
+	Until     time.Time // end of the hold or the gang lease; zero for none
+	Started   time.Time
+	askedHome bool
+	sequence  uint64
+}
+
+// Ask describes a task for admission.
+type Ask struct {
+	ID       ID
+	Entry    string
+	Customer string
+	Demand   config.Demand
+	Home     bool
+	Gang     bool
+	Limit    time.Duration // life of the hold; 0 for none
+}
+
+// Refusal is the cause of a refused Ask.
+type Refusal uint8
+
+// Causes of a refusal.
+const (
+	Admitted Refusal = iota
+	Busy
+	OutOfService
+	NoHome
+	Duplicate
+)
+
+// Grant answers an Ask. Victims have been told to stop by this call; the
+// caller carries that out. Ready is false while the task waits for them.
+type Grant struct {
+	Refusal Refusal
+	Ready   bool
+	Victims []ID
+}
+
+// EventKind is the type of an event.
+type EventKind uint8
+
+// Events of the table.
+const (
+	BecameReady EventKind = iota // a waiting task has its resources
+	HoldLapsed                   // a hold ended; the task is gone
+	LeaseLapsed                  // a gang lease ended; the task must stop at once
+)
+
+// Event is something that the caller must carry out.
+type Event struct {
+	Kind EventKind
+	ID   ID
+}
+
+// Usage is what one customer uses, with the part that one entry sent.
+type Usage struct {
+	Home, Borrowed         config.Demand
+	MineHome, MineBorrowed config.Demand
+}
--- /dev/null
+++ b/io/caller/dispatch.go
@@ -0,0 +1,362 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"bramleythread/core/config"
+	"bramleythread/core/schedule"
+	"bramleythread/io/agent"
+	"bramleythread/io/frame"
+	"bramleythread/io/wire"
+)
+
+// Waits of the dispatch.
+const (
+	freeRefusals   = 3 // refusals in a row that are placed again at once
+	firstPause     = 10 * time.Millisecond
+	maxPause       = 500 * time.Millisecond
+	storePause     = 300 * time.Millisecond
+	reconnectLimit = 3 * time.Second // for a lost agent to come back
+	reconnectPoll  = 50 * time.Millisecond
+	fetchLimit     = 2 * time.Second // beyond the deadline, for a result
+	callMargin     = 500 * time.Millisecond
+	failedStatus   = 500
+)
+
+// carryOut does what the scheduler decided. The caller holds mu.
+func (e *Entry) carryOut(d schedule.Decision, now time.Time) {
+	r := e.requests[d.Job]
+	if r == nil {
+		return
+	}
+	if d.Kind == schedule.Expire {
+		e.finish(r, &wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonExpired}, now)
+		return
+	}
+	r.workers, r.attempt, r.placedAt = d.Workers, d.Attempt, now
+	r.incarnation, _ = e.pool.Incarnation(d.Workers[0])
+	e.logPlacement(r, d, now)
+	m := e.runMessage(r, d, now)
+	e.run(func() { e.dispatch(r, m, d) })
+}
+
+func (e *Entry) logPlacement(r *request, d schedule.Decision, now time.Time) {
+	workers := strings.Join(d.Workers, ",")
+	r.note(now, "placed on %s: %s", workers, d.Reason)
+	e.cfg.Metrics.placed(r, now.Sub(r.arrived))
+	e.cfg.Log.Info().
+		Str("request", r.id).
+		Int("attempt", d.Attempt).
+		Str("customer", r.customer).
+		Str("service", r.service.Name).
+		Str("worker", workers).
+		Str("reason", d.Reason).
+		Dur("waited_ms", now.Sub(r.arrived)).
+		Msg("placed")
+}
+
+func (e *Entry) runMessage(r *request, d schedule.Decision, now time.Time) *wire.Run {
+	shape := e.sched.Shape(d.Job)
+	m := &wire.Run{
+		Request:     r.id,
+		Attempt:     d.Attempt,
+		Customer:    r.customer,
+		Service:     r.service.Name,
+		Key:         r.key,
+		Repeatable:  r.service.Repeatable,
+		Demand:      wire.Demand(shape.Demand),
+		Home:        d.Home,
+		Timeout:     r.deadline.Sub(now),
+		Grace:       r.service.Grace,
+		ContentType: r.contentType,
+		Checkpoint:  r.checkpoint,
+		Body:        r.body,
+	}
+	if p := e.keeper.Plan(); p != nil {
+		m.PlanVersion = p.Version
+	}
+	return m
+}
+
+// dispatch sends one attempt to its workers and deals with what comes back.
+func (e *Entry) dispatch(r *request, m *wire.Run, d schedule.Decision) {
+	ctx, cancel := context.WithDeadline(e.ctx, r.deadline.Add(callMargin))
+	defer cancel()
+	var reply wire.Message
+	var err error
+	worker := d.Workers[0]
+	if len(d.Workers) == 1 {
+		reply, err = e.pool.Call(ctx, worker, m)
+	} else {
+		reply, err = e.callGang(ctx, r, m, d.Workers)
+	}
+	if err != nil {
+		e.lost(r, worker, err)
+		return
+	}
+	result, ok := reply.(*wire.Result)
+	if !ok {
+		e.lost(r, worker, &frame.ClosedError{Peer: worker, Sent: true, Cause: &wire.UnknownKindError{Kind: reply.Kind()}})
+		return
+	}
+	e.settle(r, worker, result)
+}
+
+// settle deals with the result of an attempt.
+func (e *Entry) settle(r *request, worker string, result *wire.Result) {
+	switch result.Outcome {
+	case wire.Ran:
+		e.settleRan(r, worker, result)
+	case wire.Refused:
+		e.settleRefused(r, worker, result)
+	case wire.Preempted:
+		e.settlePreempted(r, worker, result)
+	case wire.HeldBy:
+		e.followHolder(r, result)
+	default:
+		e.end(r, result, 0)
+	}
+}
+
+// end ends a request; a run time above zero is learned from.
+func (e *Entry) end(r *request, result *wire.Result, ran time.Duration) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sched.Ended(r.id, ran)
+	e.finish(r, result, now)
+	e.tick(now)
+}
+
+func (e *Entry) settleRan(r *request, worker string, result *wire.Result) {
+	if !whole(result) {
+		e.recover(r, worker, wire.ReasonBadAnswer)
+		return
+	}
+	if result.Status >= failedStatus {
+		e.settleFailed(r, worker, result)
+		return
+	}
+	e.mu.Lock()
+	for _, w := range r.workers {
+		e.sched.Succeeded(w)
+	}
+	ran := time.Since(r.placedAt)
+	e.mu.Unlock()
+	e.end(r, result, ran)
+}
+
+// settleFailed deals with a whole answer that tells of a failure. Repeatable
+// work is tried on another worker while attempts and budget last.
+func (e *Entry) settleFailed(r *request, worker string, result *wire.Result) {
+	e.blame(r, worker, "status")
+	if !r.service.Repeatable || !e.mayRetry(r) {
+		e.end(r, result, 0)
+		return
+	}
+	e.again(r, worker, "upstream failed", time.Now())
+}
+
+// blame counts a failure of a worker.
+func (e *Entry) blame(r *request, worker, cause string) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.attempts++
+	r.note(now, "failed on %s: %s", worker, cause)
+	if e.sched.Failed(worker, now) {
+		e.cfg.Metrics.ejections.Inc()
+		e.cfg.Log.Warn().Str("worker", worker).Str("reason", cause).Msg("worker_ejected")
+	}
+}
+
+// mayRetry takes a retry from the request and from the shared budget.
+func (e *Entry) mayRetry(r *request) bool {
+	e.mu.Lock()
+	attempts := r.attempts
+	e.mu.Unlock()
+	if attempts >= e.limits().Attempts || !time.Now().Before(r.deadline) {
+		return false
+	}
+	if !e.budget.spend() {
+		e.cfg.Metrics.retries.WithLabelValues("budget_exhausted").Inc()
+		return false
+	}
+	e.cfg.Metrics.retries.WithLabelValues("retried").Inc()
+	return true
+}
+
+// again queues a request for another attempt, off the worker named.
+func (e *Entry) again(r *request, worker, cause string, at time.Time) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.endCancelled(r, now) {
+		return
+	}
+	r.note(now, "queued again: %s", cause)
+	e.sched.Exclude(r.id, worker)
+	e.sched.Retry(r.id, at)
+	e.tick(now)
+	e.kick()
+}
+
+// endCancelled ends a request that was cancelled while an attempt was on its
+// way. The caller holds mu.
+func (e *Entry) endCancelled(r *request, now time.Time) bool {
+	if !r.cancelled {
+		return false
+	}
+	e.sched.Ended(r.id, 0)
+	e.finish(r, &wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled}, now)
+	e.tick(now)
+	return true
+}
+
+// settleRefused places a request again that an agent did not take.
+func (e *Entry) settleRefused(r *request, worker string, result *wire.Result) {
+	now := time.Now()
+	e.cfg.Metrics.refusals.WithLabelValues(string(result.Reason)).Inc()
+	if result.Reason == wire.ReasonUpstreamError {
+		e.blame(r, worker, "task not started")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.endCancelled(r, now) {
+		return
+	}
+	r.refusals++
+	r.note(now, "refused by %s: %s", worker, result.Reason)
+	switch {
+	case result.Reason == wire.ReasonStoreDown:
+		e.sched.Retry(r.id, now.Add(jitter(storePause)))
+	case r.refusals > freeRefusals:
+		e.sched.Retry(r.id, now.Add(jitter(pause(r.refusals-freeRefusals))))
+	default:
+		e.sched.Refused(r.id, worker, e.freeAfter(result), now)
+	}
+	e.tick(now)
+	e.kick()
+}
+
+// freeAfter returns the free state that came with a refusal, if it did.
+func (e *Entry) freeAfter(result *wire.Result) *config.Demand {
+	if result.Reason != wire.ReasonBusy && result.Reason != wire.ReasonStalePlan {
+		return nil
+	}
+	free := demand(result.Free)
+	return &free
+}
+
+// pause doubles with each refusal.
+func pause(n int) time.Duration {
+	return min(firstPause<<min(n, 10), maxPause)
+}
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+// settlePreempted queues a request again whose work was stopped.
+func (e *Entry) settlePreempted(r *request, worker string, result *wire.Result) {
+	now := time.Now()
+	if result.Reason == wire.ReasonUpstreamError {
+		e.blame(r, worker, "answer lost")
+		e.mu.Lock()
+		r.maybeRan = true
+		e.mu.Unlock()
+		if !e.mayRetry(r) {
+			e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonAttempts}, 0)
+			return
+		}
+	}
+	if result.Reason == wire.ReasonExpired {
+		e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonExpired}, 0)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.checkpoint = result.Checkpoint
+	r.maybeRan = r.maybeRan || result.Started
+	r.note(now, "preempted on %s: %s", worker, result.Reason)
+	e.cfg.Metrics.preempted.Inc()
+	e.sched.Refused(r.id, worker, nil, now)
+	e.tick(now)
+	e.kick()
+}
+
+// lost deals with an attempt whose reply did not arrive.
+func (e *Entry) lost(r *request, worker string, err error) {
+	var none *agent.NotConnectedError
+	var closed *frame.ClosedError
+	if errors.As(err, &none) || errors.As(err, &closed) && !closed.Sent {
+		e.settleRefused(r, worker, &wire.Result{Reason: wire.ReasonAgentLost})
+		return
+	}
+	e.recover(r, worker, wire.ReasonAgentLost)
+}
+
+// recover finds out what became of an attempt that may have run. It asks the
+// worker's agent again until the agent is known to have lost the attempt.
+func (e *Entry) recover(r *request, worker string, cause wire.Reason) {
+	e.mu.Lock()
+	attempt, incarnation := r.attempt, r.incarnation
+	r.note(time.Now(), "reply of %s lost: %s", worker, cause)
+	e.mu.Unlock()
+	end := time.Now().Add(reconnectLimit)
+	if !r.service.Repeatable {
+		end = r.deadline
+	}
+	for time.Now().Before(end) && e.ctx.Err() == nil {
+		if now, ok := e.pool.Incarnation(worker); ok && now != incarnation {
+			break
+		}
+		if result := e.refetch(r, worker, attempt); result != nil {
+			e.settle(r, worker, result)
+			return
+		}
+		time.Sleep(reconnectPoll)
+	}
+	e.giveUp(r, worker, cause)
+}
+
+// refetch asks an agent for the result of an attempt; nil if it does not say.
+func (e *Entry) refetch(r *request, worker string, attempt int) *wire.Result {
+	ctx, cancel := context.WithDeadline(e.ctx, r.deadline.Add(fetchLimit))
+	defer cancel()
+	reply, err := e.pool.Call(ctx, worker, &wire.Fetch{Request: r.id, Attempt: attempt})
+	if err != nil {
+		return nil
+	}
+	result, ok := reply.(*wire.Result)
+	if !ok || result.Reason == wire.ReasonUnknownTask {
+		return nil
+	}
+	if result.Outcome == wire.Ran && !whole(result) {
+		return nil
+	}
+	return result
+}
+
+// giveUp ends an attempt whose result is lost for good.
+func (e *Entry) giveUp(r *request, worker string, cause wire.Reason) {
+	e.mu.Lock()
+	r.maybeRan = true
+	r.attempts++
+	e.mu.Unlock()
+	if r.service.Repeatable && e.mayRetry(r) {
+		e.again(r, worker, "agent lost", time.Now())
+		return
+	}
+	if !r.service.Repeatable {
+		if result := e.savedAnswer(r); result != nil {
+			e.end(r, result, 0)
+			return
+		}
+	}
+	e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: cause}, 0)
+}
--- /dev/null
+++ b/io/caller/follow.go
@@ -0,0 +1,295 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"strings"
+	"time"
+
+	"bramleythread/io/platform"
+	"bramleythread/io/wire"
+)
+
+// Intervals of the entry's loops.
+const (
+	configPoll       = time.Second
+	registryInterval = 5 * time.Second
+	registrySilence  = 30 * time.Second // after which an entry counts as gone
+	peerInterval     = 500 * time.Millisecond
+	storeTimeout     = 2 * time.Second
+	registryPrefix   = "entry/"
+)
+
+// configLoop follows the configuration and plan rows, and replaces the plan
+// when it no longer fits.
+func (e *Entry) configLoop() {
+	e.poll(planInterval, func() {
+		e.readRows()
+		e.replan()
+	})
+}
+
+// poll calls f at once and then in the given interval until the entry ends.
+func (e *Entry) poll(interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-e.ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// readRows reads the rows in force from the store. A failure is no harm: the
+// peers or the next poll bring them.
+func (e *Entry) readRows() {
+	if time.Since(e.planned.read) < configPoll && e.keeper.Plan() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, storeTimeout)
+	defer cancel()
+	row, _, err := platform.LoadConfig(ctx, e.cfg.Store)
+	if err != nil {
+		e.storeFailed(err)
+		return
+	}
+	p, revision, err := platform.LoadPlan(ctx, e.cfg.Store)
+	if err != nil {
+		e.storeFailed(err)
+		return
+	}
+	e.planned.read = time.Now()
+	e.planned.revision, e.planned.known = revision, true
+	newConfig, err := e.keeper.OfferConfig(row)
+	if err != nil {
+		e.cfg.Log.Error().Err(err).Uint64("config_version", row.Version).Msg("config_unreadable")
+	}
+	newPlan, err := e.keeper.OfferPlan(p)
+	if err != nil {
+		e.cfg.Log.Error().Err(err).Msg("plan_unreadable")
+	}
+	e.adopt(newConfig, newPlan, "store")
+}
+
+func (e *Entry) storeFailed(err error) {
+	e.planned.known = false
+	e.cfg.Metrics.storeErrors.Inc()
+	e.cfg.Log.Warn().Err(err).Msg("store_unavailable")
+}
+
+// adopt puts what the keeper took over in force.
+func (e *Entry) adopt(newConfig, newPlan bool, source string) {
+	if !newConfig && !newPlan {
+		return
+	}
+	cfg, version := e.keeper.Config()
+	p := e.keeper.Plan()
+	now := time.Now()
+	e.mu.Lock()
+	if newConfig {
+		e.sched.SetConfig(cfg)
+	}
+	if newPlan {
+		e.sched.SetPlan(p)
+	}
+	e.tick(now)
+	e.mu.Unlock()
+	e.cfg.Metrics.configVersion.Set(float64(version))
+	event := e.cfg.Log.Info().Str("source", source).Uint64("config_version", version)
+	if p != nil {
+		e.cfg.Metrics.planVersion.Set(float64(p.Version))
+		e.cfg.Metrics.missingHomes.Set(float64(len(p.Missing)))
+		event = event.Uint64("plan_version", p.Version).Int("missing_homes", len(p.Missing))
+	}
+	event.Msg("config_in_force")
+	e.pool.Push(func(worker string) wire.Message {
+		if homes := e.homesFor(worker); homes != nil {
+			return homes
+		}
+		return nil
+	})
+}
+
+// homesFor returns the plan's homes on a worker, nil before the first plan.
+func (e *Entry) homesFor(worker string) *wire.Homes {
+	p := e.keeper.Plan()
+	if p == nil {
+		return nil
+	}
+	_, version := e.keeper.Config()
+	m := &wire.Homes{ConfigVersion: version, PlanVersion: p.Version}
+	for customer, d := range p.OnWorker(worker) {
+		m.Homes = append(m.Homes, wire.Home{Customer: customer, Demand: wire.Demand(d)})
+	}
+	return m
+}
+
+// knownEntry is another entry. changed is the time, by this process's clock,
+// at which its row was last seen to change.
+type knownEntry struct {
+	revision uint64
+	changed  time.Time
+	seed     bool
+}
+
+// registryRow is the row by which an entry makes itself known.
+type registryRow struct {
+	Name string    `json:"name"`
+	Zone string    `json:"zone"`
+	Time time.Time `json:"time"` // for operators; only changes of the row count
+}
+
+// registryLoop keeps the entry's own row fresh and follows the others'.
+func (e *Entry) registryLoop() {
+	e.mu.Lock()
+	for _, addr := range e.cfg.Peers {
+		e.known[addr] = &knownEntry{seed: true}
+	}
+	e.mu.Unlock()
+	e.poll(registryInterval, func() {
+		e.writeRegistry()
+		e.readRegistry()
+	})
+}
+
+func (e *Entry) writeRegistry() {
+	ctx, cancel := context.WithTimeout(e.ctx, storeTimeout)
+	defer cancel()
+	value, err := json.Marshal(registryRow{Name: e.cfg.Name, Zone: e.cfg.Zone, Time: time.Now()})
+	if err != nil {
+		return
+	}
+	// The next round repeats a write that failed.
+	_, _ = e.cfg.Store.Commit(ctx, platform.Txn{
+		Writes: []platform.Write{{Key: registryPrefix + e.cfg.Control.String(), Value: value}},
+	})
+}
+
+func (e *Entry) readRegistry() {
+	ctx, cancel := context.WithTimeout(e.ctx, storeTimeout)
+	defer cancel()
+	rows, err := e.cfg.Store.Scan(ctx, registryPrefix)
+	if err != nil {
+		return
+	}
+	if !e.noteEntries(rows, time.Now()) {
+		return
+	}
+	entries := e.entries()
+	e.pool.Push(func(string) wire.Message { return &wire.Peers{Entries: entries} })
+}
+
+// noteEntries updates the known entries and reports whether any is new.
+func (e *Entry) noteEntries(rows []platform.Row, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fresh := false
+	for _, row := range rows {
+		addr, err := netip.ParseAddrPort(strings.TrimPrefix(row.Key, registryPrefix))
+		if err != nil || addr == e.cfg.Control {
+			continue
+		}
+		k, ok := e.known[addr]
+		if !ok {
+			k = &knownEntry{}
+			e.known[addr] = k
+			fresh = true
+		}
+		if k.revision != row.Revision {
+			k.revision, k.changed = row.Revision, now
+		}
+	}
+	for addr, k := range e.known {
+		if !k.seed && now.Sub(k.changed) > registrySilence {
+			delete(e.known, addr)
+		}
+	}
+	return fresh
+}
+
+// entries returns the control addresses of the other entries and of this one.
+func (e *Entry) entries() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	addrs := []netip.AddrPort{e.cfg.Control}
+	for addr := range e.known {
+		addrs = append(addrs, addr)
+	}
+	return addrs
+}
+
+// peerLoop exchanges configuration and views of the fleet with the others.
+func (e *Entry) peerLoop() {
+	e.poll(peerInterval, func() {
+		for _, addr := range e.entries()[1:] {
+			e.askPeer(addr)
+		}
+	})
+}
+
+func (e *Entry) askPeer(addr netip.AddrPort) {
+	_, _, configVersion, planVersion := e.keeper.Newer(0, 0)
+	reply, err := e.peers.Call(e.ctx, addr, &wire.AskConfig{ConfigVersion: configVersion, PlanVersion: planVersion})
+	if err != nil {
+		return
+	}
+	m, ok := reply.(*wire.Config)
+	if !ok {
+		return
+	}
+	newConfig, newPlan, err := e.keeper.OfferData(m.Config, m.Plan)
+	if err != nil {
+		e.cfg.Log.Error().Err(err).Stringer("peer", addr).Msg("peer_config_unreadable")
+	}
+	e.noteSeen(m.Seen)
+	e.adopt(newConfig, newPlan, "peer")
+}
+
+func (e *Entry) noteSeen(seen []wire.Seen) {
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range seen {
+		at := now.Add(-s.Age)
+		if at.After(e.seen[s.Worker]) {
+			e.seen[s.Worker] = at
+		}
+	}
+}
+
+// answerAsk answers another entry.
+func (e *Entry) answerAsk(m *wire.AskConfig) wire.Message {
+	reply := &wire.Config{}
+	reply.Config, reply.Plan, reply.ConfigVersion, reply.PlanVersion = e.keeper.Newer(m.ConfigVersion, m.PlanVersion)
+	now := time.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, w := range e.sched.Workers() {
+		if age, ok := w.Age(now); ok {
+			reply.Seen = append(reply.Seen, wire.Seen{Worker: w.Name, Age: age})
+		}
+	}
+	return reply
+}
+
+// answerFetch tells another entry the result of a request of this one.
+func (e *Entry) answerFetch(ctx context.Context, m *wire.Fetch) wire.Message {
+	e.mu.Lock()
+	r := e.requests[m.Request]
+	e.mu.Unlock()
+	if r == nil {
+		return &wire.Result{Request: m.Request, Outcome: wire.Unknown, Reason: wire.ReasonUnknownTask}
+	}
+	select {
+	case <-r.done:
+		result := *r.result
+		result.Customer = r.customer
+		return &result
+	case <-ctx.Done():
+		return nil
+	}
+}
--- /dev/null
+++ b/io/caller/holder.go
@@ -0,0 +1,88 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"bramleythread/io/platform"
+	"bramleythread/io/wire"
+)
+
+// followHolder gets the result of a request whose idempotency key another
+// attempt holds.
+func (e *Entry) followHolder(r *request, held *wire.Result) {
+	e.mu.Lock()
+	r.note(time.Now(), "key is held by %s", held.HolderToken)
+	e.mu.Unlock()
+	for time.Now().Before(r.deadline) && e.ctx.Err() == nil {
+		result := e.askHolder(r, held)
+		switch {
+		case result != nil && result.Outcome == wire.Refused:
+			e.again(r, "", "holder gave up", time.Now().Add(jitter(storePause)))
+			return
+		case result != nil && result.Reason != wire.ReasonUnknownTask:
+			e.end(r, result, 0)
+			return
+		}
+		if saved := e.savedAnswer(r); saved != nil {
+			e.end(r, saved, 0)
+			return
+		}
+		if result != nil {
+			// The holder has lost the work, or never had it.
+			e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonAgentLost}, 0)
+			return
+		}
+		time.Sleep(jitter(storePause))
+	}
+	e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonClaimed}, 0)
+}
+
+// askHolder asks the agent that holds a claim; nil if it is not reached.
+func (e *Entry) askHolder(r *request, held *wire.Result) *wire.Result {
+	worker, ok := e.pool.WorkerAt(held.Holder)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(e.ctx, r.deadline)
+	defer cancel()
+	reply, err := e.pool.Call(ctx, worker, &wire.Fetch{
+		Customer: r.customer,
+		Service:  r.service.Name,
+		Key:      r.key,
+	})
+	if err != nil {
+		return nil
+	}
+	result, ok := reply.(*wire.Result)
+	if !ok || result.Outcome == wire.Ran && !whole(result) {
+		return nil
+	}
+	return result
+}
+
+func whole(result *wire.Result) bool {
+	sum := sha256.Sum256(result.Body)
+	return bytes.Equal(sum[:], result.Digest)
+}
+
+// savedAnswer reads the answer that an agent put into the object store; nil if
+// there is none.
+func (e *Entry) savedAnswer(r *request) *wire.Result {
+	if r.key == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, fetchLimit)
+	defer cancel()
+	data, err := e.cfg.Store.GetObject(ctx, platform.AnswerKey(r.keyOf()))
+	if err != nil {
+		return nil
+	}
+	var result wire.Result
+	if _, err := result.UnmarshalMsg(data); err != nil || !whole(&result) {
+		return nil
+	}
+	return &result
+}
--- /dev/null
+++ b/io/caller/operators.go
@@ -0,0 +1,142 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"bramleythread/core/config"
+	"bramleythread/core/plan"
+	"bramleythread/io/wire"
+)
+
+// Status is the operators' view of one entry.
+type Status struct {
+	Entry         string         `json:"entry"`
+	Ready         bool           `json:"ready"`
+	ConfigVersion uint64         `json:"config_version"`
+	ConfigAuthor  string         `json:"config_author"`
+	ConfigTime    time.Time      `json:"config_time"`
+	PlanVersion   uint64         `json:"plan_version"`
+	Missing       []plan.Missing `json:"missing_homes"`
+	Queued        int            `json:"queued"`
+	Fragmentation float64        `json:"fragmentation"`
+	Entries       []string       `json:"entries"`
+	Workers       []WorkerStatus `json:"workers"`
+}
+
+// WorkerStatus is one worker in a Status.
+type WorkerStatus struct {
+	Name          string        `json:"name"`
+	Zone          string        `json:"zone"`
+	Rack          string        `json:"rack"`
+	Usable        bool          `json:"usable"`
+	Ejected       bool          `json:"ejected"`
+	Draining      bool          `json:"draining"`
+	Capacity      config.Demand `json:"capacity"`
+	Free          config.Demand `json:"free"`
+	ConfigVersion uint64        `json:"config_version"`
+	PlanVersion   uint64        `json:"plan_version"`
+}
+
+// Explanation tells why a request went where it did.
+type Explanation struct {
+	Request  string       `json:"request"`
+	Customer string       `json:"customer"`
+	Service  string       `json:"service"`
+	Outcome  wire.Outcome `json:"outcome,omitempty"`
+	Steps    []step       `json:"steps"`
+}
+
+// operator answers 401 and reports false unless the request is an operator's.
+func (e *Entry) operator(w http.ResponseWriter, r *http.Request) bool {
+	cfg, _ := e.keeper.Config()
+	if cfg != nil && cfg.AuthenticateOperator(tokenDigest(r)) != nil {
+		return true
+	}
+	w.Header().Set("WWW-Authenticate", "Bearer")
+	writeProblem(w, problem{Status: http.StatusUnauthorized, Detail: "the token is not that of an operator"})
+	return false
+}
+
+func (e *Entry) serveStatus(w http.ResponseWriter, r *http.Request) {
+	if !e.operator(w, r) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(e.Status())
+}
+
+// Status returns the operators' view.
+func (e *Entry) Status() Status {
+	now := time.Now()
+	ready := e.Ready()
+	row, p := e.keeper.Row(), e.keeper.Plan()
+	s := Status{
+		Entry:         e.cfg.Name,
+		Ready:         ready,
+		ConfigVersion: row.Version,
+		ConfigAuthor:  row.Author,
+		ConfigTime:    row.Time,
+	}
+	if p != nil {
+		s.PlanVersion, s.Missing = p.Version, p.Missing
+	}
+	for _, addr := range e.entries() {
+		s.Entries = append(s.Entries, addr.String())
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s.Queued, s.Fragmentation = e.sched.Queued(), e.sched.Fragmentation()
+	for _, x := range e.sched.Workers() {
+		versions := e.versions[x.Name]
+		s.Workers = append(s.Workers, WorkerStatus{
+			Name:          x.Name,
+			Zone:          x.Zone,
+			Rack:          x.Rack,
+			Usable:        e.sched.Usable(x, now),
+			Ejected:       x.Ejected(),
+			Draining:      x.Draining(),
+			Capacity:      x.Capacity,
+			Free:          x.Free(),
+			ConfigVersion: versions.config,
+			PlanVersion:   versions.plan,
+		})
+	}
+	return s
+}
+
+func (e *Entry) serveExplanation(w http.ResponseWriter, r *http.Request) {
+	if !e.operator(w, r) {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	req := e.requests[r.PathValue("id")]
+	if req == nil {
+		refuseUnknown(w)
+		return
+	}
+	x := Explanation{Request: req.id, Customer: req.customer, Service: req.service.Name, Steps: req.trail}
+	if req.result != nil {
+		x.Outcome = req.result.Outcome
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(x)
+}
+
+// serveDrain takes a worker out of service.
+func (e *Entry) serveDrain(w http.ResponseWriter, r *http.Request) {
+	if !e.operator(w, r) {
+		return
+	}
+	name := r.PathValue("name")
+	ctx, cancel := context.WithTimeout(r.Context(), lookUpTimeout)
+	defer cancel()
+	if _, err := e.pool.Call(ctx, name, &wire.Drain{Worker: name}); err != nil {
+		writeProblem(w, problem{Status: http.StatusNotFound, Detail: err.Error()})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/io/entry/run.go
@@ -0,0 +1,471 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"bramleythread/core/config"
+	"bramleythread/core/worker"
+	"bramleythread/io/platform"
+	"bramleythread/io/upstream"
+	"bramleythread/io/wire"
+)
+
+// claimPatience is how long work keeps its slot while the store does not
+// answer; then the entry queues it again.
+const claimPatience = time.Second
+
+func tokenOf(name string, incarnation uint64, id worker.ID) string {
+	return fmt.Sprintf("%s/%d/%s/%d", name, incarnation, id.Request, id.Attempt)
+}
+
+// serveRun admits a request and waits for its result.
+func (a *Agent) serveRun(ctx context.Context, entry string, m *wire.Run) wire.Message {
+	w, refused := a.admitRun(entry, m)
+	if refused != nil {
+		return refused
+	}
+	return a.await(ctx, w)
+}
+
+// await returns the result of a work, or nil if ctx ends first.
+func (a *Agent) await(ctx context.Context, w *work) wire.Message {
+	select {
+	case <-w.finished:
+		return w.result
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// admitRun decides on a run. A second run of the same attempt, or of the same
+// idempotency key, joins the first.
+func (a *Agent) admitRun(entry string, m *wire.Run) (*work, *wire.Result) {
+	now := time.Now()
+	w := newWork(*m, entry, now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if known := a.sameWork(w); known != nil {
+		return known, nil
+	}
+	if known := a.latest[w.id.Request]; known != nil && known.id.Attempt > w.id.Attempt {
+		return nil, a.refuse(w, worker.Duplicate)
+	}
+	g := a.table.Admit(worker.Ask{
+		ID:       w.id,
+		Entry:    entry,
+		Customer: m.Customer,
+		Demand:   config.Demand(m.Demand),
+		Home:     m.Home,
+	}, now)
+	if g.Refusal != worker.Admitted {
+		return nil, a.refuse(w, g.Refusal)
+	}
+	a.insert(w, g)
+	a.wg.Add(1)
+	go func() {
+		defer a.wg.Done()
+		a.execute(w)
+	}()
+	return w, nil
+}
+
+// sameWork returns the work that w repeats, or nil. The caller holds mu.
+func (a *Agent) sameWork(w *work) *work {
+	if known := a.works[w.id]; known != nil {
+		return known
+	}
+	return a.repeated(w)
+}
+
+// repeated returns the latest work of the same attempt or the same key, or
+// nil. The caller holds mu.
+func (a *Agent) repeated(w *work) *work {
+	if known := a.latest[w.id.Request]; known != nil && known.id == w.id {
+		return known
+	}
+	if w.claimKey == "" {
+		return nil
+	}
+	known := a.byKey[w.claimKey]
+	if known == nil || known.reusable() {
+		return nil
+	}
+	return known
+}
+
+// reusable reports whether the key of a finished work may be tried again.
+func (w *work) reusable() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.result == nil {
+		return false
+	}
+	switch w.result.Outcome {
+	case wire.Refused, wire.Preempted, wire.NotRun, wire.HeldBy:
+		return true
+	default:
+		return false
+	}
+}
+
+// insert adds admitted work and carries out its grant. The caller holds mu.
+func (a *Agent) insert(w *work, g worker.Grant) {
+	a.works[w.id] = w
+	if !w.member {
+		a.remember(w)
+	}
+	if g.Ready {
+		w.setReady()
+	}
+	for _, id := range g.Victims {
+		if v := a.works[id]; v != nil {
+			a.preempt(v)
+		}
+	}
+	a.cfg.Log.Info().
+		Str("request", w.id.Request).
+		Int("attempt", w.id.Attempt).
+		Str("customer", w.run.Customer).
+		Str("worker", a.cfg.Name).
+		Bool("home", w.run.Home).
+		Int("preempted", len(g.Victims)).
+		Msg("admitted")
+	a.cfg.Metrics.admitted.WithLabelValues(homeLabel(w.run.Home)).Inc()
+	a.notify(false)
+}
+
+// remember makes a work known by its request and its key. The caller holds mu.
+func (a *Agent) remember(w *work) {
+	a.latest[w.id.Request] = w
+	if w.claimKey != "" {
+		a.byKey[w.claimKey] = w
+	}
+}
+
+// refuse answers a run that was not admitted. The caller holds mu.
+func (a *Agent) refuse(w *work, cause worker.Refusal) *wire.Result {
+	reason := refusalReason(cause, a.draining)
+	a.cfg.Metrics.refused.WithLabelValues(string(reason)).Inc()
+	a.cfg.Log.Info().
+		Str("request", w.id.Request).
+		Int("attempt", w.id.Attempt).
+		Str("customer", w.run.Customer).
+		Str("worker", a.cfg.Name).
+		Str("reason", string(reason)).
+		Msg("refused")
+	return &wire.Result{
+		Request: w.id.Request,
+		Attempt: w.id.Attempt,
+		Outcome: wire.Refused,
+		Reason:  reason,
+		Free:    wire.Demand(a.table.Free()),
+	}
+}
+
+func refusalReason(cause worker.Refusal, draining bool) wire.Reason {
+	switch cause {
+	case worker.OutOfService:
+		if draining {
+			return wire.ReasonDraining
+		}
+		return wire.ReasonNoUpstream
+	case worker.NoHome:
+		return wire.ReasonStalePlan
+	default:
+		return wire.ReasonBusy
+	}
+}
+
+// execute brings admitted work to its result.
+func (a *Agent) execute(w *work) {
+	if reason := a.waitReady(w); reason != wire.ReasonNone {
+		a.finish(w, notStarted(reason))
+		return
+	}
+	if result := a.claim(w); result != nil {
+		a.finish(w, result)
+		return
+	}
+	if reason, ok := a.begin(w); !ok {
+		a.openClaim(w, w.run.Checkpoint)
+		a.finish(w, notStarted(reason))
+		return
+	}
+	answer, err := a.runTask(w, func(ctx context.Context, t upstream.Tasks) (upstream.Answer, error) {
+		return t.Run(ctx, a.task(w, taskLease))
+	})
+	a.finish(w, a.conclude(w, answer, err))
+}
+
+// waitReady waits until the work has its resources.
+func (a *Agent) waitReady(w *work) wire.Reason {
+	t := time.NewTimer(time.Until(w.deadline))
+	defer t.Stop()
+	select {
+	case <-w.halt:
+		return w.haltReason()
+	case <-t.C:
+		return wire.ReasonExpired
+	case <-a.ctx.Done():
+		return wire.ReasonShutdown
+	case <-w.ready:
+		return wire.ReasonNone
+	}
+}
+
+// begin starts the work in the table.
+func (a *Agent) begin(w *work) (wire.Reason, bool) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.table.Start(w.id, now) {
+		return wire.ReasonLeaseLost, false
+	}
+	return w.begin(now)
+}
+
+// notStarted is the result of work that certainly did not start.
+func notStarted(reason wire.Reason) *wire.Result {
+	switch reason {
+	case wire.ReasonExpired, wire.ReasonCancelled:
+		return &wire.Result{Outcome: wire.NotRun, Reason: reason}
+	default:
+		return &wire.Result{Outcome: wire.Refused, Reason: reason}
+	}
+}
+
+// claim makes the claim that work needs which may not be repeated. It returns
+// nil once the work may start.
+func (a *Agent) claim(w *work) *wire.Result {
+	if w.claimKey == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, min(claimPatience, time.Until(w.deadline)))
+	defer cancel()
+	checkpoint, err := a.claims.Take(ctx, w.claimKey, a.claimOf(w), a.gaveUp)
+	var held *platform.HeldError
+	switch {
+	case err == nil:
+		if checkpoint != "" {
+			w.run.Checkpoint = checkpoint
+		}
+		return nil
+	case errors.As(err, &held):
+		return a.heldResult(w, held.Claim)
+	default:
+		a.openClaim(w, w.run.Checkpoint)
+		return notStarted(wire.ReasonStoreDown)
+	}
+}
+
+func (a *Agent) claimOf(w *work) platform.Claim {
+	digest := sha256.Sum256(w.run.Body)
+	return platform.Claim{
+		Token:      a.token(w.id),
+		Request:    w.id.Request,
+		Worker:     a.cfg.Name,
+		Holder:     a.cfg.Control,
+		State:      platform.Claimed,
+		BodyDigest: hex.EncodeToString(digest[:]),
+	}
+}
+
+// gaveUp reports whether a claim's token is of an attempt of this process that
+// ended before it started.
+func (a *Agent) gaveUp(token string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, w := range a.finished {
+		if a.token(w.id) == token {
+			return !w.hasStarted()
+		}
+	}
+	return false
+}
+
+func (a *Agent) heldResult(w *work, c platform.Claim) *wire.Result {
+	own := a.claimOf(w)
+	switch {
+	case c.State == platform.ClaimCancelled:
+		return &wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled}
+	case c.BodyDigest != own.BodyDigest:
+		return &wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonKeyReused}
+	default:
+		return &wire.Result{Outcome: wire.HeldBy, Reason: wire.ReasonClaimed, Holder: c.Holder, HolderToken: c.Token}
+	}
+}
+
+// openClaim gives up the claim of work that has not started, or has stopped at
+// a checkpoint. It tries until the store has answered.
+func (a *Agent) openClaim(w *work, checkpoint string) {
+	if w.claimKey == "" {
+		return
+	}
+	a.wg.Add(1)
+	go func() {
+		defer a.wg.Done()
+		for !a.claims.Open(a.ctx, w.claimKey, a.token(w.id), checkpoint) {
+			select {
+			case <-a.ctx.Done():
+				return
+			case <-time.After(claimPatience):
+			}
+			if time.Since(w.received) > a.cfg.Lifetime {
+				return
+			}
+		}
+	}()
+}
+
+// taskID names the task of a work on the upstream.
+func (a *Agent) taskID(w *work) string {
+	if w.member {
+		return fmt.Sprintf("%s.%d.%d", w.id.Request, w.id.Attempt, w.rank)
+	}
+	return fmt.Sprintf("%s.%d", w.id.Request, w.id.Attempt)
+}
+
+func (a *Agent) task(w *work, lease time.Duration) upstream.Task {
+	return upstream.Task{
+		ID:          a.taskID(w),
+		Customer:    w.run.Customer,
+		Service:     w.run.Service,
+		Key:         w.run.Key,
+		ContentType: w.run.ContentType,
+		Checkpoint:  w.run.Checkpoint,
+		Rank:        w.rank,
+		Size:        w.size,
+		Lease:       lease,
+		Body:        w.run.Body,
+	}
+}
+
+// runTask runs a task on the upstream and renews its lease meanwhile. Work
+// that may be repeated is stopped at its deadline; other work may take as long
+// again, so that a caller who asks again gets its answer.
+func (a *Agent) runTask(w *work, start func(context.Context, upstream.Tasks) (upstream.Answer, error)) (upstream.Answer, error) {
+	limit := time.Until(w.deadline)
+	if !w.run.Repeatable {
+		limit += w.run.Timeout
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, limit)
+	defer cancel()
+	tasks := a.tasks()
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		a.renewTask(ctx, cancel, w, tasks)
+	}()
+	answer, err := start(ctx, tasks)
+	cancel()
+	<-renewed
+	var lost *upstream.LostError
+	if errors.As(err, &lost) {
+		// The task may still run: it must not outlive the attempt.
+		a.stopTask(w)
+	}
+	return answer, err
+}
+
+// renewTask keeps the lease of a single task until ctx ends. A gang's member
+// is renewed by its lead.
+func (a *Agent) renewTask(ctx context.Context, cancel context.CancelFunc, w *work, tasks upstream.Tasks) {
+	t := time.NewTicker(renewInterval)
+	defer t.Stop()
+	id := a.taskID(w)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.lost:
+			cancel()
+			return
+		case <-t.C:
+			if !w.member {
+				_ = tasks.Renew(ctx, id, taskLease)
+			}
+		}
+	}
+}
+
+func (a *Agent) tasks() upstream.Tasks {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.upstream.tasks
+}
+
+// stopTask stops a task on the upstream. If the upstream does not answer, the
+// task's lease ends it.
+func (a *Agent) stopTask(w *work) {
+	ctx, cancel := context.WithTimeout(context.Background(), taskLease)
+	defer cancel()
+	_ = a.tasks().Stop(ctx, a.taskID(w))
+}
+
+func (a *Agent) goStop(w *work) {
+	a.wg.Add(1)
+	go func() {
+		defer a.wg.Done()
+		a.stopTask(w)
+	}()
+}
+
+// conclude turns what the upstream said into a result.
+func (a *Agent) conclude(w *work, answer upstream.Answer, err error) *wire.Result {
+	var not *upstream.NotStartedError
+	var stopped *upstream.StoppedError
+	switch {
+	case err == nil:
+		digest := sha256.Sum256(answer.Body)
+		return &wire.Result{
+			Outcome:     wire.Ran,
+			Started:     true,
+			Status:      answer.Status,
+			ContentType: answer.ContentType,
+			Body:        answer.Body,
+			Digest:      digest[:],
+		}
+	case errors.As(err, &not):
+		a.openClaim(w, w.run.Checkpoint)
+		return &wire.Result{Outcome: wire.Refused, Reason: wire.ReasonUpstreamError}
+	case errors.As(err, &stopped):
+		return a.concludeStopped(w, stopped.Checkpoint)
+	case w.run.Repeatable:
+		return &wire.Result{Outcome: wire.Preempted, Reason: a.lossReason(w), Started: true}
+	default:
+		return &wire.Result{Outcome: wire.Unknown, Reason: a.lossReason(w), Started: true}
+	}
+}
+
+func (a *Agent) lossReason(w *work) wire.Reason {
+	if !time.Now().Before(w.deadline) {
+		return wire.ReasonExpired
+	}
+	return wire.ReasonUpstreamError
+}
+
+// concludeStopped is the result of a task that was stopped on purpose.
+func (a *Agent) concludeStopped(w *work, checkpoint string) *wire.Result {
+	reason := w.haltReason()
+	if reason == wire.ReasonNone {
+		reason = wire.ReasonLeaseLost
+	}
+	r := &wire.Result{Reason: reason, Started: true, Checkpoint: checkpoint}
+	switch {
+	case reason == wire.ReasonCancelled, w.run.Repeatable && reason == wire.ReasonExpired:
+		r.Outcome = wire.Unknown
+	case checkpoint != "":
+		a.openClaim(w, checkpoint)
+		r.Outcome = wire.Preempted
+	case w.run.Repeatable:
+		r.Outcome = wire.Preempted
+	default:
+		r.Outcome = wire.Unknown
+	}
+	return r
+}
--- /dev/null
+++ b/io/operator/cmd_check.go
@@ -0,0 +1,107 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"bramleythread/core/config"
+	"bramleythread/core/plan"
+)
+
+var cmdCheck = &Command{
+	Name:        "check",
+	Description: "Validates a configuration, prints every fault and shows the plan",
+	Args:        "-base FILE [-overlay FILE]",
+	Action: func(env Env, args []string) error {
+		fs := cmdFlags("check", env)
+		base := fs.String("base", "", "base configuration `FILE`")
+		overlay := fs.String("overlay", "", "overlay `FILE` of the site")
+		if err := parse(env, fs, args, 0); err != nil {
+			return err
+		}
+		sources, err := readSources(*base, *overlay)
+		if err != nil {
+			return err
+		}
+		cfg, p, err := checkSources(sources)
+		if err != nil {
+			return err
+		}
+		printPlan(env.Stdout, cfg, p)
+		return nil
+	},
+}
+
+// readSources reads a base file and, if it is named, its overlay.
+func readSources(base, overlay string) ([]config.Source, error) {
+	if base == "" {
+		return nil, &UsageError{Reason: "-base FILE is required"}
+	}
+	var sources []config.Source
+	for _, name := range []string{base, overlay} {
+		if name == "" {
+			continue
+		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, eris.Wrap(err, "configuration")
+		}
+		sources = append(sources, config.Source{Name: name, Text: text})
+	}
+	return sources, nil
+}
+
+// checkSources parses a configuration and plans it on its nominal fleet.
+// Guarantees that do not fit are faults at their sections.
+func checkSources(sources []config.Source) (*config.Config, *plan.Plan, error) {
+	cfg, err := config.Parse(sources...)
+	if err != nil {
+		return nil, nil, err
+	}
+	p, err := plan.Check(cfg)
+	var infeasible *plan.InfeasibleError
+	if errors.As(err, &infeasible) {
+		return nil, nil, missingFaults(sources, infeasible.Missing)
+	}
+	return cfg, p, err
+}
+
+func missingFaults(sources []config.Source, missing []plan.Missing) error {
+	e := &config.FaultsError{}
+	for _, m := range missing {
+		name := fmt.Sprintf("guarantee %s %s", m.Customer, m.Shape)
+		file, line, _ := config.Place(sources, name)
+		e.Faults = append(e.Faults, config.Fault{
+			File:   file,
+			Line:   line,
+			Key:    name + ".count",
+			Reason: fmt.Sprintf("instance %d of shape %q does not fit on the racks beside the other guarantees", m.Instance+1, m.Shape),
+		})
+	}
+	return e
+}
+
+func printPlan(w io.Writer, cfg *config.Config, p *plan.Plan) {
+	_, _ = fmt.Fprintf(w, "%s: %d customers, %d services, %d workers, %d homes\n",
+		cfg.Deployment, len(cfg.Customers), len(cfg.Services), len(plan.Nominal(cfg)), len(p.Homes))
+	for i := 0; i < len(p.Homes); {
+		h, n := p.Homes[i], 1
+		for i+n < len(p.Homes) && alike(h, p.Homes[i+n]) {
+			n++
+		}
+		i += n
+		_, _ = fmt.Fprintf(w, "  %s: %d x %s, %d accelerators and %d slots on each of %s\n",
+			h.Customer, n, h.Shape, h.Demand.Accelerators, h.Demand.Slots, strings.Join(h.Workers, " "))
+	}
+}
+
+// alike reports whether two homes differ in their instance only.
+func alike(a, b plan.Home) bool {
+	return a.Customer == b.Customer && a.Shape == b.Shape && slices.Equal(a.Workers, b.Workers)
+}
--- /dev/null
+++ b/io/operator/cmd_drain.go
@@ -0,0 +1,28 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+)
+
+var cmdDrain = &Command{
+	Name:        "drain",
+	Description: "Takes a worker out of service; what runs on it goes on",
+	Args:        "[-settings FILE] WORKER",
+	Action: func(env Env, args []string) error {
+		fs := cmdFlags("drain", env)
+		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+		if err := parse(env, fs, args, 1); err != nil {
+			return err
+		}
+		s, err := operatorSettings(env, *settings)
+		if err != nil {
+			return err
+		}
+		if err := askEntry(s, http.MethodPost, "/v1/workers/"+escape(fs.Arg(0))+"/drain", nil); err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(env.Stdout, "%s takes no new work\n", fs.Arg(0))
+		return err
+	},
+}
--- /dev/null
+++ b/io/operator/cmd_entry.go
@@ -0,0 +1,51 @@
+package operator
+
+import (
+	"flag"
+
+	"bramleythread/core/config"
+	"bramleythread/io/platform"
+)
+
+var cmdEntry = &Command{
+	Name:        "entry",
+	Description: "Runs an entry: takes in callers' requests, queues and places them",
+	Args:        "-settings FILE",
+	Action: func(env Env, args []string) error {
+		s, err := roleSettings(env, "entry", config.RoleEntry, args)
+		if err != nil {
+			return err
+		}
+		log := newLogger(env, s.Log.Level)
+		return runProcess(log, func() (process, error) {
+			c := platform.NewClient(s.Store)
+			p, err := startEntry(s, c.Store(), log.Logger)
+			if err != nil {
+				return nil, err
+			}
+			p.store = c
+			return p, nil
+		})
+	},
+}
+
+// cmdFlags returns the flag set of a command by its name. The table refers to
+// the commands, so they cannot refer to themselves.
+func cmdFlags(name string, env Env) *flag.FlagSet {
+	for _, c := range Commands {
+		if c.Name == name {
+			return c.flags(env)
+		}
+	}
+	return nil
+}
+
+// roleSettings parses the arguments of a role's command.
+func roleSettings(env Env, name string, role config.Role, args []string) (*config.Settings, error) {
+	fs := cmdFlags(name, env)
+	file := fs.String("settings", "", "settings `FILE` of this process")
+	if err := parse(env, fs, args, 0); err != nil {
+		return nil, err
+	}
+	return loadSettings(role, *file)
+}
--- /dev/null
+++ b/io/operator/cmd_publish.go
@@ -0,0 +1,78 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"bramleythread/core/config"
+	"bramleythread/io/platform"
+)
+
+// fromPresent makes publish replace whatever version is in force.
+const fromPresent = -1
+
+var cmdPublish = &Command{
+	Name:        "publish",
+	Description: "Checks a configuration and puts it in force",
+	Args:        "[-settings FILE] -base FILE [-overlay FILE] [-author NAME] [-expect VERSION]",
+	Action: func(env Env, args []string) error {
+		fs := cmdFlags("publish", env)
+		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+		base := fs.String("base", "", "base configuration `FILE`")
+		overlay := fs.String("overlay", "", "overlay `FILE` of the site")
+		author := fs.String("author", env.Getenv("USER"), "`NAME` that others see")
+		expect := fs.Int("expect", fromPresent, "`VERSION` that the change was made from")
+		if err := parse(env, fs, args, 0); err != nil {
+			return err
+		}
+		sources, err := readSources(*base, *overlay)
+		if err != nil {
+			return err
+		}
+		if _, _, err := checkSources(sources); err != nil {
+			return err
+		}
+		s, err := operatorSettings(env, *settings)
+		if err != nil {
+			return err
+		}
+		version, err := publish(s, sources, *author, *expect)
+		var race *platform.RaceError
+		if errors.As(err, &race) {
+			_, _ = fmt.Fprintf(env.Stderr, "not published: %v\n", race)
+			return &QuietError{}
+		}
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(env.Stdout, "published version %d\n", version)
+		return err
+	},
+}
+
+func publish(s *config.Settings, sources []config.Source, author string, expect int) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	c := platform.NewClient(s.Store)
+	defer c.Close()
+	store := c.Store()
+	from := uint64(max(expect, 0))
+	if expect == fromPresent {
+		present, _, err := platform.LoadConfig(ctx, store)
+		if err != nil {
+			return 0, err
+		}
+		from = present.Version
+	}
+	return platform.Publish(ctx, store, from, newRow(sources, author))
+}
+
+func newRow(sources []config.Source, author string) platform.ConfigRow {
+	row := platform.ConfigRow{Author: author, Time: time.Now().UTC(), Base: string(sources[0].Text)}
+	if len(sources) > 1 {
+		row.Overlay = string(sources[1].Text)
+	}
+	return row
+}
--- /dev/null
+++ b/io/operator/cmd_status.go
@@ -0,0 +1,62 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"bramleythread/io/caller"
+)
+
+var cmdStatus = &Command{
+	Name:        "status",
+	Description: "Shows an entry's view of the workers, the queue and the plan",
+	Args:        "[-settings FILE]",
+	Action: func(env Env, args []string) error {
+		fs := cmdFlags("status", env)
+		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+		if err := parse(env, fs, args, 0); err != nil {
+			return err
+		}
+		s, err := operatorSettings(env, *settings)
+		if err != nil {
+			return err
+		}
+		var status caller.Status
+		if err := askEntry(s, http.MethodGet, "/v1/status", &status); err != nil {
+			return err
+		}
+		printStatus(env.Stdout, status)
+		return nil
+	},
+}
+
+func printStatus(out io.Writer, s caller.Status) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	defer func() { _ = w.Flush() }()
+	_, _ = fmt.Fprintf(w, "entry %s: ready %t, config %d by %s at %s, plan %d, queued %d, fragmentation %.2f\n",
+		s.Entry, s.Ready, s.ConfigVersion, s.ConfigAuthor, s.ConfigTime.Format(time.RFC3339), s.PlanVersion, s.Queued, s.Fragmentation)
+	for _, m := range s.Missing {
+		_, _ = fmt.Fprintf(w, "no home: %s %s %d\n", m.Customer, m.Shape, m.Instance+1)
+	}
+	_, _ = fmt.Fprintln(w, "WORKER\tZONE\tRACK\tSTATE\tACCELERATORS\tSLOTS\tPLAN")
+	for _, x := range s.Workers {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d/%d\t%d/%d\t%d\n", x.Name, x.Zone, x.Rack, workerState(x),
+			x.Free.Accelerators, x.Capacity.Accelerators, x.Free.Slots, x.Capacity.Slots, x.PlanVersion)
+	}
+}
+
+func workerState(w caller.WorkerStatus) string {
+	switch {
+	case w.Draining:
+		return "draining"
+	case w.Ejected:
+		return "ejected"
+	case w.Usable:
+		return "ready"
+	default:
+		return "gone"
+	}
+}
--- /dev/null
+++ b/io/operator/command.go
@@ -0,0 +1,143 @@
+// Package operator is the command line: it starts the processes of the system
+// and speaks to the operators.
+package operator
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"bramleythread/core/config"
+)
+
+// Exit statuses.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Env is what a command sees of its surroundings.
+type Env struct {
+	Args   []string
+	Getenv func(key string) string
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+// Command is one entry of the command table.
+type Command struct {
+	Name        string
+	Description string
+	Args        string // how the usage line shows the arguments
+	Action      func(env Env, args []string) error
+}
+
+// Commands is the command table, in the order of the help text.
+var Commands []*Command
+
+func init() {
+	Commands = []*Command{
+		cmdLocal,
+		cmdEntry,
+		cmdAgent,
+		cmdStandin,
+		cmdCheck,
+		cmdPublish,
+		cmdConfig,
+		cmdStatus,
+		cmdExplain,
+		cmdDrain,
+		cmdVersion,
+		cmdHelp,
+	}
+}
+
+// UsageError tells that a command was called wrongly.
+type UsageError struct {
+	Reason string
+}
+
+// Error returns the reason.
+func (e *UsageError) Error() string { return e.Reason }
+
+// QuietError ends a command with status 1 after it has printed why.
+type QuietError struct{}
+
+// Error describes the error for callers that print it all the same.
+func (e *QuietError) Error() string { return "failed" }
+
+// Main runs the command that the arguments name and returns the exit status.
+func Main(env Env) int {
+	err := dispatch(env)
+	var usage *UsageError
+	var quiet *QuietError
+	var faults *config.FaultsError
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case errors.As(err, &quiet):
+		return exitFailure
+	case errors.As(err, &faults):
+		_, _ = fmt.Fprintln(env.Stderr, faults.Error())
+		return exitFailure
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintf(env.Stderr, "bramleythread: %v\n", err)
+		return exitUsage
+	default:
+		_, _ = fmt.Fprintf(env.Stderr, "bramleythread: %s\n", eris.ToString(err, false))
+		return exitFailure
+	}
+}
+
+func dispatch(env Env) error {
+	if len(env.Args) < 2 {
+		printHelp(env.Stderr)
+		return &UsageError{Reason: "no command given"}
+	}
+	name := env.Args[1]
+	if name == "-h" || name == "-help" || name == "--help" {
+		name = cmdHelp.Name
+	}
+	for _, c := range Commands {
+		if c.Name == name {
+			return c.Action(env, env.Args[2:])
+		}
+	}
+	return &UsageError{Reason: fmt.Sprintf("unknown command %q; see bramleythread help", name)}
+}
+
+// flags returns the flag set of a command, with its help text.
+func (c *Command) flags(env Env) *flag.FlagSet {
+	fs := flag.NewFlagSet(c.Name, flag.ContinueOnError)
+	fs.SetOutput(env.Stdout)
+	fs.Usage = func() {
+		_, _ = fmt.Fprintf(env.Stdout, "usage: bramleythread %s\n\n%s.\n", strings.TrimSpace(c.Name+" "+c.Args), c.Description)
+		fs.PrintDefaults()
+	}
+	return fs
+}
+
+// parse parses flags and checks the number of arguments that are left.
+func parse(env Env, fs *flag.FlagSet, args []string, operands int) error {
+	fs.SetOutput(io.Discard)
+	usage := fs.Usage
+	fs.Usage = func() {}
+	err := fs.Parse(args)
+	fs.SetOutput(env.Stdout)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		usage()
+		return err
+	case err != nil:
+		return &UsageError{Reason: err.Error()}
+	case fs.NArg() != operands:
+		return &UsageError{Reason: fmt.Sprintf("%s takes %d arguments, got %d", fs.Name(), operands, fs.NArg())}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/io/operator/process_agent.go
@@ -0,0 +1,96 @@
+package operator
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bramleythread/core/config"
+	"bramleythread/io/entry"
+	"bramleythread/io/platform"
+	"bramleythread/io/upstream"
+)
+
+// Limits of what an agent keeps.
+const (
+	maxAnswer      = 8 << 20 // bytes
+	answerLifetime = 10 * time.Minute
+)
+
+// agentProcess is an agent with its listeners.
+type agentProcess struct {
+	agent   *entry.Agent
+	web     *webServer
+	control net.Listener
+	drain   config.DrainSettings
+	served  chan struct{}
+	store   *platform.Client
+}
+
+func startAgent(s *config.Settings, store platform.Store, log zerolog.Logger) (*agentProcess, error) {
+	l, control, err := listen(s.Control)
+	if err != nil {
+		return nil, err
+	}
+	advertise := s.Advertise
+	if advertise.Port() == 0 {
+		advertise = netip.AddrPortFrom(advertise.Addr(), control.Port())
+	}
+	registry := newRegistry()
+	a := entry.New(entry.Config{
+		Name:        s.Name,
+		Zone:        s.Zone,
+		Rack:        s.Rack,
+		Incarnation: newIncarnation(),
+		Control:     advertise,
+		Entries:     s.Entries,
+		Key:         s.Key,
+		Store:       store,
+		Log:         log,
+		Metrics:     entry.NewMetrics(registry),
+		MaxAnswer:   maxAnswer,
+		Lifetime:    answerLifetime,
+		Connect:     connectUpstream,
+	})
+	mux := newMux(registry, a.Ready)
+	listener := &upstream.Listener{Announced: a.Announced, Left: a.Left}
+	listener.Register(mux)
+	web, err := serveHTTP(s.HTTP, mux)
+	if err != nil {
+		_ = l.Close()
+		a.Close()
+		return nil, err
+	}
+	p := &agentProcess{agent: a, web: web, control: l, drain: s.Drain, served: make(chan struct{})}
+	go func() {
+		defer close(p.served)
+		a.Serve(l)
+	}()
+	log.Info().Str("worker", s.Name).Str("zone", s.Zone).Str("rack", s.Rack).Stringer("http", web.addr).Stringer("control", control).Msg("agent_started")
+	return p, nil
+}
+
+func connectUpstream(n upstream.Announcement) (upstream.Tasks, func()) {
+	c := upstream.NewClient(n.Address, n.Connections, maxAnswer)
+	return c.Tasks(), c.Close
+}
+
+// stop is the planned stop: the worker takes nothing new, what runs ends or is
+// handed over, then the listeners close.
+func (p *agentProcess) stop() {
+	p.agent.Drain(p.drain.Limit)
+	p.kill()
+}
+
+// kill closes everything at once.
+func (p *agentProcess) kill() {
+	_ = p.web.server.Close()
+	p.agent.Close()
+	_ = p.control.Close()
+	<-p.served
+	if p.store != nil {
+		p.store.Close()
+	}
+}
--- /dev/null
+++ b/io/operator/process_entry.go
@@ -0,0 +1,94 @@
+package operator
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"bramleythread/core/config"
+	"bramleythread/core/schedule"
+	"bramleythread/io/caller"
+	"bramleythread/io/platform"
+)
+
+// entryProcess is an entry with its listeners.
+type entryProcess struct {
+	entry   *caller.Entry
+	web     *webServer
+	control net.Listener
+	address netip.AddrPort // of the control listener
+	drain   config.DrainSettings
+	store   *platform.Client
+}
+
+func startEntry(s *config.Settings, store platform.Store, log zerolog.Logger) (*entryProcess, error) {
+	l, control, err := listen(s.Control)
+	if err != nil {
+		return nil, err
+	}
+	advertise := s.Advertise
+	if advertise.Port() == 0 {
+		advertise = netip.AddrPortFrom(advertise.Addr(), control.Port())
+	}
+	registry := newRegistry()
+	e := caller.New(caller.Config{
+		Name:        s.Name,
+		Zone:        s.Zone,
+		Incarnation: newIncarnation(),
+		Control:     advertise,
+		Peers:       without(s.Entries, advertise),
+		Key:         s.Key,
+		Store:       store,
+		Log:         log,
+		Metrics:     caller.NewMetrics(registry),
+		Policy:      schedule.DefaultPolicy(),
+	})
+	mux := newMux(registry, e.Ready)
+	e.Register(mux)
+	web, err := serveHTTP(s.HTTP, caller.Handler(mux))
+	if err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	go e.Pool().Serve(l)
+	e.Start()
+	log.Info().Str("name", s.Name).Str("zone", s.Zone).Stringer("http", web.addr).Stringer("control", control).Msg("entry_started")
+	return &entryProcess{entry: e, web: web, control: l, address: control, drain: s.Drain}, nil
+}
+
+// newIncarnation returns a number that grows with every start.
+func newIncarnation() uint64 { return uint64(time.Now().UnixMilli()) }
+
+func without(addrs []netip.AddrPort, own netip.AddrPort) []netip.AddrPort {
+	var rest []netip.AddrPort
+	for _, a := range addrs {
+		if a != own {
+			rest = append(rest, a)
+		}
+	}
+	return rest
+}
+
+// stop is the planned stop: callers are sent elsewhere first, then the
+// requests in flight end, then the listeners close.
+func (p *entryProcess) stop() {
+	p.web.server.SetKeepAlivesEnabled(false)
+	p.entry.StopReadiness()
+	time.Sleep(p.drain.Notice)
+	p.entry.Drain(p.drain.Limit)
+	p.web.shutdown(p.drain.Limit)
+	p.kill()
+}
+
+// kill closes everything at once.
+func (p *entryProcess) kill() {
+	_ = p.web.server.Close()
+	_ = p.control.Close()
+	p.entry.Close()
+	<-p.entry.Pool().Done()
+	if p.store != nil {
+		p.store.Close()
+	}
+}
--- /dev/null
+++ b/io/operator/server.go
@@ -0,0 +1,102 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/net/netutil"
+)
+
+// Limits of every HTTP listener.
+const (
+	maxHeader         = 64 << 10 // bytes
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = time.Minute
+	idleTimeout       = time.Minute
+	maxHTTPConns      = 4096
+)
+
+// webServer is one HTTP listener.
+type webServer struct {
+	server *http.Server
+	addr   netip.AddrPort
+	done   chan struct{}
+}
+
+// serveHTTP listens on addr; port 0 takes one from the kernel.
+func serveHTTP(addr netip.AddrPort, h http.Handler) (*webServer, error) {
+	l, bound, err := listen(addr)
+	if err != nil {
+		return nil, err
+	}
+	w := &webServer{
+		server: &http.Server{
+			Handler:           h,
+			ReadHeaderTimeout: readHeaderTimeout,
+			ReadTimeout:       readTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeader,
+		},
+		addr: bound,
+		done: make(chan struct{}),
+	}
+	go func() {
+		defer close(w.done)
+		_ = w.server.Serve(netutil.LimitListener(l, maxHTTPConns))
+	}()
+	return w, nil
+}
+
+// shutdown lets the requests in flight end, within the limit.
+func (w *webServer) shutdown(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := w.server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+		_ = w.server.Close()
+	}
+	<-w.done
+}
+
+// newRegistry returns a metrics registry with the process's own measures.
+func newRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return r
+}
+
+// newMux returns a mux with the paths that every process serves.
+func newMux(r *prometheus.Registry, ready func() bool) *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	return mux
+}
+
+// listen listens on addr and returns the address with the port that it got.
+func listen(addr netip.AddrPort) (net.Listener, netip.AddrPort, error) {
+	var cfg net.ListenConfig
+	l, err := cfg.Listen(context.Background(), "tcp", addr.String())
+	if err != nil {
+		return nil, netip.AddrPort{}, err
+	}
+	return l, l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
--- /dev/null
+++ b/io/platform/standin.go
@@ -0,0 +1,181 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Faults are the failures that a Standin shows. The zero value is a healthy
+// platform.
+type Faults struct {
+	Outage      bool          `json:"outage"`       // every operation fails before it takes effect
+	Delay       time.Duration `json:"delay"`        // nanoseconds added to every operation
+	LostReplies int           `json:"lost_replies"` // this many commits take effect, then fail
+}
+
+var errOutage = errors.New("outage")
+
+var errLostReply = errors.New("reply lost")
+
+// Standin is an in-memory platform. Its methods may be called from any
+// goroutine.
+type Standin struct {
+	mu       sync.Mutex
+	revision uint64
+	rows     map[string]Row
+	objects  map[string][]byte
+	faults   Faults
+	reads    int
+	writes   int
+}
+
+// NewStandin returns an empty platform.
+func NewStandin() *Standin {
+	return &Standin{rows: make(map[string]Row), objects: make(map[string][]byte)}
+}
+
+// SetFaults replaces the failures that the platform shows.
+func (s *Standin) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Counts returns how many reads and commits have been served.
+func (s *Standin) Counts() (reads, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, s.writes
+}
+
+// Store returns the platform's functions for use in the same process.
+func (s *Standin) Store() Store {
+	return Store{
+		Get:       s.get,
+		Scan:      s.scan,
+		Commit:    s.commit,
+		PutObject: s.putObject,
+		GetObject: s.getObject,
+	}
+}
+
+// admit waits out the delay and fails during an outage.
+func (s *Standin) admit(ctx context.Context, op string) error {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		t := time.NewTimer(f.Delay)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return &UnavailableError{Op: op, MaybeApplied: true, Cause: ctx.Err()}
+		case <-t.C:
+		}
+	}
+	if f.Outage {
+		return &UnavailableError{Op: op, Cause: errOutage}
+	}
+	return nil
+}
+
+func (s *Standin) get(ctx context.Context, key string) (Row, error) {
+	if err := s.admit(ctx, "get"); err != nil {
+		return Row{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	row, ok := s.rows[key]
+	if !ok {
+		return Row{Key: key}, nil
+	}
+	return row, nil
+}
+
+func (s *Standin) scan(ctx context.Context, prefix string) ([]Row, error) {
+	if err := s.admit(ctx, "scan"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	var rows []Row
+	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, s.rows[key])
+		}
+	}
+	return rows, nil
+}
+
+func (s *Standin) commit(ctx context.Context, t Txn) (uint64, error) {
+	if err := s.admit(ctx, "commit"); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if rows := s.conflicts(t.Conditions); len(rows) > 0 {
+		return 0, &ConflictError{Rows: rows}
+	}
+	s.apply(t.Writes)
+	if s.faults.LostReplies > 0 {
+		s.faults.LostReplies--
+		return 0, &UnavailableError{Op: "commit", MaybeApplied: true, Cause: errLostReply}
+	}
+	return s.revision, nil
+}
+
+func (s *Standin) conflicts(conditions []Condition) []Row {
+	var rows []Row
+	for _, c := range conditions {
+		row, ok := s.rows[c.Key]
+		if !ok {
+			row = Row{Key: c.Key}
+		}
+		if row.Revision != c.Revision {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+func (s *Standin) apply(writes []Write) {
+	s.revision++
+	for _, w := range writes {
+		if w.Delete {
+			delete(s.rows, w.Key)
+			continue
+		}
+		s.rows[w.Key] = Row{Key: w.Key, Revision: s.revision, Value: slices.Clone(w.Value)}
+	}
+}
+
+func (s *Standin) putObject(ctx context.Context, key string, data []byte) error {
+	if err := s.admit(ctx, "put object"); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[key] = slices.Clone(data)
+	return nil
+}
+
+func (s *Standin) getObject(ctx context.Context, key string) ([]byte, error) {
+	if err := s.admit(ctx, "get object"); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[key]
+	if !ok {
+		return nil, &NotFoundError{Key: key}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/io/upstream/client.go
@@ -0,0 +1,194 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const (
+	dialTimeout    = time.Second
+	controlTimeout = 2 * time.Second
+)
+
+// sizeError tells of an answer over the limit.
+var errAnswerSize = errors.New("answer exceeds the limit")
+
+// Client runs tasks on one upstream over HTTP.
+type Client struct {
+	base      string
+	maxAnswer int64
+	tasks     *http.Client // as many connections as the upstream has
+	control   *http.Client // renewals and stops do not queue behind tasks
+}
+
+// NewClient returns a client of the upstream at addr. connections bounds the
+// tasks in flight; maxAnswer bounds an answer, in bytes.
+func NewClient(addr netip.AddrPort, connections int, maxAnswer int64) *Client {
+	return &Client{
+		base:      "http://" + addr.String(),
+		maxAnswer: maxAnswer,
+		tasks:     &http.Client{Transport: transport(connections)},
+		control:   &http.Client{Transport: transport(0), Timeout: controlTimeout},
+	}
+}
+
+func transport(connections int) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: max(connections, 2),
+		DisableCompression:  true,
+	}
+}
+
+// Tasks returns the client's functions.
+func (c *Client) Tasks() Tasks {
+	return Tasks{
+		Run:        c.run,
+		Load:       c.load,
+		Release:    c.release,
+		Renew:      c.renew,
+		Checkpoint: c.checkpoint,
+		Stop:       c.stop,
+	}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.tasks.CloseIdleConnections()
+	c.control.CloseIdleConnections()
+}
+
+func (c *Client) run(ctx context.Context, t Task) (Answer, error) {
+	r, err := c.request(ctx, http.MethodPost, t.ID, "", t.Body)
+	if err != nil {
+		return Answer{}, &NotStartedError{ID: t.ID, Cause: err}
+	}
+	describe(r, t)
+	return c.answer(r, t.ID)
+}
+
+func (c *Client) load(ctx context.Context, t Task) error {
+	r, err := c.request(ctx, http.MethodPut, t.ID, "", t.Body)
+	if err != nil {
+		return err
+	}
+	describe(r, t)
+	return expectNoContent(c.tasks, r)
+}
+
+func (c *Client) release(ctx context.Context, id string, lease time.Duration) (Answer, error) {
+	r, err := c.request(ctx, http.MethodPost, id, "/release", nil)
+	if err != nil {
+		return Answer{}, &NotStartedError{ID: id, Cause: err}
+	}
+	r.Header.Set(headerLease, lease.String())
+	return c.answer(r, id)
+}
+
+func (c *Client) renew(ctx context.Context, id string, lease time.Duration) error {
+	r, err := c.request(ctx, http.MethodPut, id, "/lease", nil)
+	if err != nil {
+		return err
+	}
+	r.Header.Set(headerLease, lease.String())
+	return expectNoContent(c.control, r)
+}
+
+func (c *Client) checkpoint(ctx context.Context, id string) error {
+	r, err := c.request(ctx, http.MethodPost, id, "/checkpoint", nil)
+	if err != nil {
+		return err
+	}
+	return expectNoContent(c.control, r)
+}
+
+func (c *Client) stop(ctx context.Context, id string) error {
+	r, err := c.request(ctx, http.MethodDelete, id, "", nil)
+	if err != nil {
+		return err
+	}
+	return expectNoContent(c.control, r)
+}
+
+func (c *Client) request(ctx context.Context, method, id, action string, body []byte) (*http.Request, error) {
+	u := c.base + tasksPath + url.PathEscape(id) + action
+	return http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
+}
+
+func describe(r *http.Request, t Task) {
+	// Without GetBody the transport never sends the request a second time.
+	r.GetBody = nil
+	h := r.Header
+	h.Set(headerCustomer, t.Customer)
+	h.Set(headerService, t.Service)
+	h.Set(headerLease, t.Lease.String())
+	h.Set(headerRank, strconv.Itoa(t.Rank))
+	h.Set(headerSize, strconv.Itoa(t.Size))
+	if t.ContentType != "" {
+		h.Set("Content-Type", t.ContentType)
+	}
+	if t.Key != "" {
+		h.Set(headerKey, t.Key)
+	}
+	if t.Checkpoint != "" {
+		h.Set(headerCheckpoint, t.Checkpoint)
+	}
+}
+
+// answer sends a request that starts a task and reads the whole answer.
+func (c *Client) answer(r *http.Request, id string) (Answer, error) {
+	resp, err := c.tasks.Do(r)
+	if err != nil {
+		return Answer{}, sendError(id, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswer+1))
+	if err != nil {
+		return Answer{}, &LostError{ID: id, Cause: err}
+	}
+	if int64(len(body)) > c.maxAnswer {
+		return Answer{}, &LostError{ID: id, Cause: errAnswerSize}
+	}
+	switch resp.Header.Get(headerState) {
+	case stateNotStarted:
+		return Answer{}, &NotStartedError{ID: id, Cause: &StatusError{Status: resp.StatusCode}}
+	case stateCheckpointed, stateStopped:
+		return Answer{}, &StoppedError{ID: id, Checkpoint: resp.Header.Get(headerCheckpoint)}
+	}
+	return Answer{
+		Status:      resp.StatusCode,
+		ContentType: resp.Header.Get("Content-Type"),
+		Body:        body,
+	}, nil
+}
+
+// sendError tells a connection that was never made from a lost answer.
+func sendError(id string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &NotStartedError{ID: id, Cause: err}
+	}
+	return &LostError{ID: id, Cause: err}
+}
+
+func expectNoContent(client *http.Client, r *http.Request) error {
+	resp, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		return &StatusError{Status: resp.StatusCode}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/upstream/listener.go
@@ -0,0 +1,44 @@
+package upstream
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+const maxAnnouncement = 64 << 10 // bytes
+
+// Listener receives the announcements of an upstream on its agent.
+type Listener struct {
+	Announced func(a Announcement)
+	Left      func(incarnation uint64)
+}
+
+// Register adds the listener's paths to mux.
+func (l *Listener) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+announcePath, func(w http.ResponseWriter, r *http.Request) {
+		if a, ok := readAnnouncement(w, r); ok {
+			l.Announced(a)
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+	mux.HandleFunc("POST "+leavePath, func(w http.ResponseWriter, r *http.Request) {
+		if a, ok := readAnnouncement(w, r); ok {
+			l.Left(a.Incarnation)
+			w.WriteHeader(http.StatusNoContent)
+		}
+	})
+}
+
+func readAnnouncement(w http.ResponseWriter, r *http.Request) (Announcement, bool) {
+	var a Announcement
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	if err := d.Decode(&a); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return a, false
+	}
+	if !a.Address.IsValid() || a.Slots <= 0 || a.Accelerators < 0 || a.Connections <= 0 {
+		http.Error(w, "announcement lacks an address, slots or connections", http.StatusBadRequest)
+		return a, false
+	}
+	return a, true
+}
--- /dev/null
+++ b/io/wire/schema.go
@@ -0,0 +1,314 @@
+// Package wire holds the messages that the processes of the system exchange.
+//
+// schema.go is the schema: msgp reads it and writes the codec to
+// schema_gen.go. Every message is a msgpack map with snake_case keys, so a
+// reader skips the fields that it does not know.
+package wire
+
+import (
+	"net/netip"
+	"time"
+)
+
+//go:generate go tool msgp -file schema.go -o schema_gen.go -tests=false -io=false
+
+//msgp:limit arrays:16384 maps:256
+//msgp:shim netip.AddrPort as:string using:formatAddr/parseAddr mode:convert
+//msgp:shim Outcome as:string using:string/Outcome
+//msgp:shim Reason as:string using:string/Reason
+//msgp:shim State as:string using:string/State
+//msgp:shim Role as:string using:string/Role
+
+// Protocol is the version of the message set, sent in the hello.
+const Protocol = 1
+
+// Role names the part that a process plays.
+type Role string
+
+// Roles of the processes that open control connections.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Outcome says what became of a request.
+type Outcome string
+
+// Outcomes. The first three end a request; the others are answers of an agent
+// to an entry, which then places the request again or asks the holder.
+const (
+	Ran       Outcome = "ran"
+	NotRun    Outcome = "not-run"
+	Unknown   Outcome = "unknown"
+	Refused   Outcome = "refused"
+	Preempted Outcome = "preempted"
+	HeldBy    Outcome = "held-by"
+)
+
+// Reason is the short machine-readable cause of an outcome.
+type Reason string
+
+// Reasons that appear in log lines, problem documents and metrics.
+const (
+	ReasonNone          Reason = ""
+	ReasonBusy          Reason = "busy"
+	ReasonNoUpstream    Reason = "no_upstream"
+	ReasonDraining      Reason = "draining"
+	ReasonExpired       Reason = "deadline_expired"
+	ReasonCancelled     Reason = "cancelled"
+	ReasonClaimed       Reason = "claimed_elsewhere"
+	ReasonStoreDown     Reason = "store_unavailable"
+	ReasonUpstreamError Reason = "upstream_error"
+	ReasonLeaseLost     Reason = "lease_lost"
+	ReasonAgentLost     Reason = "agent_lost"
+	ReasonPreempted     Reason = "preempted"
+	ReasonBadAnswer     Reason = "answer_digest_mismatch"
+	ReasonStalePlan     Reason = "stale_plan"
+	ReasonQueueFull     Reason = "queue_full"
+	ReasonNoFit         Reason = "shape_does_not_fit"
+	ReasonAttempts      Reason = "attempts_exhausted"
+	ReasonUnknownTask   Reason = "unknown_request"
+	ReasonGangBroken    Reason = "gang_broken"
+	ReasonShutdown      Reason = "shutdown"
+	ReasonKeyReused     Reason = "key_reused_with_other_body"
+	ReasonNeverSent     Reason = "never_arrived"
+	ReasonStarted       Reason = "already_started"
+	ReasonGaveUp        Reason = "holder_gave_up"
+)
+
+// State is the readiness of a worker as its agent reports it.
+type State string
+
+// States of a worker.
+const (
+	Ready    State = "ready"
+	Draining State = "draining"
+	Gone     State = "gone"
+)
+
+// Demand is an amount of a worker's resources.
+type Demand struct {
+	Slots        int `msg:"slots"`
+	Accelerators int `msg:"accelerators"`
+}
+
+// Hello opens a connection. Nonce is random and fresh for each connection.
+type Hello struct {
+	Protocol    int            `msg:"protocol"`
+	Role        Role           `msg:"role"`
+	Name        string         `msg:"name"`
+	Incarnation uint64         `msg:"incarnation"`
+	Address     netip.AddrPort `msg:"address"`
+	Nonce       []byte         `msg:"nonce"`
+}
+
+// Challenge answers a Hello. Proof is the HMAC of both nonces.
+type Challenge struct {
+	Hello Hello  `msg:"hello"`
+	Proof []byte `msg:"proof"`
+}
+
+// Answer ends the handshake with the dialer's own HMAC of both nonces.
+type Answer struct {
+	Proof []byte `msg:"proof"`
+}
+
+// Usage is what one customer uses of a worker, inside and outside its homes.
+// The Mine parts are of what the receiving entry sent.
+type Usage struct {
+	Customer     string `msg:"customer"`
+	Home         Demand `msg:"home"`
+	Borrowed     Demand `msg:"borrowed"`
+	MineHome     Demand `msg:"mine_home"`
+	MineBorrowed Demand `msg:"mine_borrowed"`
+}
+
+// Report is the heartbeat of an agent: the state of its worker.
+type Report struct {
+	Worker        string         `msg:"worker"`
+	Incarnation   uint64         `msg:"incarnation"`
+	Sequence      uint64         `msg:"sequence"`
+	Address       netip.AddrPort `msg:"address"`
+	Zone          string         `msg:"zone"`
+	Rack          string         `msg:"rack"`
+	State         State          `msg:"state"`
+	Capacity      Demand         `msg:"capacity"`
+	Free          Demand         `msg:"free"`
+	Usage         []Usage        `msg:"usage"`
+	Services      []string       `msg:"services"`
+	Running       int            `msg:"running"`
+	ConfigVersion uint64         `msg:"config_version"`
+	PlanVersion   uint64         `msg:"plan_version"`
+}
+
+// Home is the part of a worker that the plan binds to a customer.
+type Home struct {
+	Customer string `msg:"customer"`
+	Demand   Demand `msg:"demand"`
+}
+
+// Homes carries the plan's homes on one worker to its agent.
+type Homes struct {
+	ConfigVersion uint64 `msg:"config_version"`
+	PlanVersion   uint64 `msg:"plan_version"`
+	Homes         []Home `msg:"homes"`
+}
+
+// Run asks an agent to admit and run a request on its worker.
+// Timeout is what remains of the caller's deadline. PlanVersion is the newest
+// plan that the entry has seen.
+type Run struct {
+	Request     string        `msg:"request"`
+	Attempt     int           `msg:"attempt"`
+	Customer    string        `msg:"customer"`
+	Service     string        `msg:"service"`
+	Key         string        `msg:"key"`
+	Repeatable  bool          `msg:"repeatable"`
+	Demand      Demand        `msg:"demand"`
+	Home        bool          `msg:"home"`
+	Timeout     time.Duration `msg:"timeout"`
+	Grace       time.Duration `msg:"grace"`
+	ContentType string        `msg:"content_type"`
+	Checkpoint  string        `msg:"checkpoint"`
+	PlanVersion uint64        `msg:"plan_version"`
+	Body        []byte        `msg:"body"`
+}
+
+// Result ends an attempt. Digest is the SHA-256 of Body. Free is the free
+// state of the worker after the attempt. Holder is set with HeldBy.
+type Result struct {
+	Request     string         `msg:"request"`
+	Attempt     int            `msg:"attempt"`
+	Customer    string         `msg:"customer"`
+	Outcome     Outcome        `msg:"outcome"`
+	Reason      Reason         `msg:"reason"`
+	Status      int            `msg:"status"`
+	ContentType string         `msg:"content_type"`
+	Body        []byte         `msg:"body"`
+	Digest      []byte         `msg:"digest"`
+	Checkpoint  string         `msg:"checkpoint"`
+	Holder      netip.AddrPort `msg:"holder"`
+	Free        Demand         `msg:"free"`
+	HolderToken string         `msg:"holder_token"`
+	Started     bool           `msg:"started"`
+}
+
+// Hold asks for part of a worker for one member of a gang. It lapses after
+// Limit unless the gang's lead parks the member.
+type Hold struct {
+	Request  string        `msg:"request"`
+	Attempt  int           `msg:"attempt"`
+	Customer string        `msg:"customer"`
+	Demand   Demand        `msg:"demand"`
+	Home     bool          `msg:"home"`
+	Limit    time.Duration `msg:"limit"`
+	Grace    time.Duration `msg:"grace"`
+}
+
+// HoldReply answers a Hold. A refusal carries the free state of the worker.
+type HoldReply struct {
+	Granted bool   `msg:"granted"`
+	Reason  Reason `msg:"reason"`
+	Free    Demand `msg:"free"`
+}
+
+// Free gives up a hold, or an attempt that has not started.
+type Free struct {
+	Request string `msg:"request"`
+	Attempt int    `msg:"attempt"`
+}
+
+// Member is one worker of a gang.
+type Member struct {
+	Worker  string         `msg:"worker"`
+	Address netip.AddrPort `msg:"address"`
+}
+
+// Gang hands a gang whose holds are all granted to its lead, the first member.
+type Gang struct {
+	Run     Run      `msg:"run"`
+	Members []Member `msg:"members"`
+}
+
+// Park asks a member to load its part of a gang without starting it.
+type Park struct {
+	Run   Run           `msg:"run"`
+	Rank  int           `msg:"rank"`
+	Size  int           `msg:"size"`
+	Lease time.Duration `msg:"lease"`
+}
+
+// Release asks a parked member to start. The reply is its Result.
+type Release struct {
+	Request string        `msg:"request"`
+	Attempt int           `msg:"attempt"`
+	Lease   time.Duration `msg:"lease"`
+}
+
+// Renew extends the lease of a member of a gang.
+type Renew struct {
+	Request string        `msg:"request"`
+	Attempt int           `msg:"attempt"`
+	Lease   time.Duration `msg:"lease"`
+}
+
+// Stop ends the member of a gang at once.
+type Stop struct {
+	Request string `msg:"request"`
+	Attempt int    `msg:"attempt"`
+	Reason  Reason `msg:"reason"`
+}
+
+// Cancel asks for a request not to run. The reply is a Result.
+type Cancel struct {
+	Request string `msg:"request"`
+}
+
+// Fetch asks an agent for the result of a request, or of the claim that it
+// holds if Key is set. It waits for work that still runs. With an Attempt that
+// never arrived, the agent answers that it will not run.
+type Fetch struct {
+	Request  string `msg:"request"`
+	Attempt  int    `msg:"attempt"`
+	Customer string `msg:"customer"`
+	Service  string `msg:"service"`
+	Key      string `msg:"key"`
+}
+
+// Done acknowledges a message that needs no other reply.
+type Done struct {
+	OK     bool   `msg:"ok"`
+	Reason Reason `msg:"reason"`
+}
+
+// AskConfig asks a peer entry for its newest configuration and plan.
+type AskConfig struct {
+	ConfigVersion uint64 `msg:"config_version"`
+	PlanVersion   uint64 `msg:"plan_version"`
+}
+
+// Seen tells how long ago an entry last heard of a worker that is in service.
+type Seen struct {
+	Worker string        `msg:"worker"`
+	Age    time.Duration `msg:"age"`
+}
+
+// Config carries the rows of the configuration and of the plan, as stored, if
+// they are newer than those of the asker, and the sender's view of the fleet.
+type Config struct {
+	ConfigVersion uint64 `msg:"config_version"`
+	Config        []byte `msg:"config"`
+	PlanVersion   uint64 `msg:"plan_version"`
+	Plan          []byte `msg:"plan"`
+	Seen          []Seen `msg:"seen"`
+}
+
+// Peers lists the control addresses of the entries that the sender knows.
+type Peers struct {
+	Entries []netip.AddrPort `msg:"entries"`
+}
+
+// Drain asks an agent to take its worker out of service.
+type Drain struct {
+	Worker string `msg:"worker"`
+}
