--- a/core/plan/assign.go
+++ b/core/plan/assign.go
@@ -27,6 +27,9 @@
 	slices.SortFunc(a.plan.Homes, func(x, y Home) int {
 		return cmp.Or(cmp.Compare(x.Customer, y.Customer), cmp.Compare(x.Shape, y.Shape), cmp.Compare(x.Instance, y.Instance))
 	})
+	slices.SortFunc(a.plan.Missing, func(x, y Missing) int {
+		return cmp.Or(cmp.Compare(x.Customer, y.Customer), cmp.Compare(x.Shape, y.Shape), cmp.Compare(x.Instance, y.Instance))
+	})
 	return a.plan
 }
 
--- a/core/worker/table.go
+++ b/core/worker/table.go
@@ -177,7 +177,7 @@
 		return Grant{Refusal: Busy}
 	}
 	for _, id := range victims {
-		t.tasks[id].Phase = Stopping
+		t.Stop(id)
 	}
 	x := t.insert(a, now, true)
 	t.promote()
@@ -299,12 +299,17 @@
 	return true
 }
 
-// Stop marks a task as stopping. It reports whether that changed anything.
+// Stop marks a task as stopping, until it is removed. A waiting task occupies
+// nothing and is removed at once. It reports whether that changed anything.
 func (t *Table) Stop(id ID) bool {
 	x, ok := t.tasks[id]
 	if !ok || x.Phase == Stopping {
 		return false
 	}
+	if x.Phase == Waiting {
+		delete(t.tasks, id)
+		return true
+	}
 	x.Phase = Stopping
 	return true
 }
--- /dev/null
+++ b/core/worker/table_test.go
@@ -0,0 +1,193 @@
+package worker
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bramleythread/core/config"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "500")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+func ask(request, customer string, n int, home bool) Ask {
+	return Ask{ID: ID{Request: request, Attempt: 1}, Customer: customer, Demand: config.Demand{Slots: n, Accelerators: n}, Home: home}
+}
+
+func newTestTable(homes map[string]int) *Table {
+	t := NewTable()
+	t.SetCapacity(config.Demand{Slots: 8, Accelerators: 8})
+	t.SetService(true)
+	demands := make(map[string]config.Demand)
+	for c, n := range homes {
+		demands[c] = config.Demand{Slots: n, Accelerators: n}
+	}
+	t.SetHomes(1, demands)
+	return t
+}
+
+func TestHomeIsReclaimed(t *testing.T) {
+	is := is.New(t)
+	tab := newTestTable(map[string]int{"a": 8})
+	for i := range 8 {
+		g := tab.Admit(ask(fmt.Sprint("b", i), "b", 1, false), start)
+		is.Equal(g.Refusal, Admitted)
+		is.True(tab.Start(ID{fmt.Sprint("b", i), 1}, start))
+	}
+	g := tab.Admit(ask("a", "a", 8, true), start)
+	is.Equal(g.Refusal, Admitted)
+	is.Equal(len(g.Victims), 8)
+	is.True(!g.Ready)
+	var events []Event
+	for _, id := range g.Victims {
+		events = append(events, tab.Remove(id)...)
+	}
+	is.Equal(events, []Event{{Kind: BecameReady, ID: ID{"a", 1}}})
+	is.True(tab.Start(ID{"a", 1}, start))
+}
+
+func TestHomeWorkIsNotPreempted(t *testing.T) {
+	is := is.New(t)
+	tab := newTestTable(map[string]int{"a": 4, "b": 4})
+	is.Equal(tab.Admit(ask("a1", "a", 4, true), start).Refusal, Admitted)
+	is.Equal(tab.Admit(ask("a2", "a", 1, true), start).Refusal, NoHome)
+	is.Equal(tab.Admit(ask("a3", "a", 4, false), start).Refusal, Admitted)
+	g := tab.Admit(ask("b1", "b", 4, true), start)
+	is.Equal(g.Victims, []ID{{"a3", 1}})
+}
+
+func TestOlderPlanIsIgnored(t *testing.T) {
+	is := is.New(t)
+	tab := newTestTable(nil)
+	is.True(tab.SetHomes(5, map[string]config.Demand{"a": {Slots: 1}}))
+	is.True(!tab.SetHomes(4, nil))
+	is.True(!tab.SetHomes(5, nil))
+	is.Equal(tab.PlanVersion(), uint64(5))
+}
+
+func TestLeaseLapses(t *testing.T) {
+	is := is.New(t)
+	tab := newTestTable(nil)
+	a := ask("g", "a", 1, false)
+	a.Limit = time.Second
+	tab.Admit(a, start)
+	is.Equal(len(tab.Tick(start.Add(999*time.Millisecond))), 0)
+	is.True(tab.Start(a.ID, start))
+	is.True(tab.Renew(a.ID, start.Add(2*time.Second)))
+	is.Equal(tab.Tick(start.Add(2*time.Second)), []Event{{Kind: LeaseLapsed, ID: a.ID}})
+	is.True(!tab.Renew(a.ID, start.Add(9*time.Second))) // too late
+}
+
+// TestGuaranteesHold draws any history of admissions, ends and plans, and
+// checks after each step that no more is in use than there is, and that every
+// customer's free home can be had at once.
+func TestGuaranteesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tab := newTestTable(nil)
+		version := uint64(1)
+		live := []ID{}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now := start.Add(time.Duration(step) * time.Second)
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				version++
+				tab.SetHomes(version, randomHomes(t))
+			case 1, 2, 3:
+				a := ask(fmt.Sprint("q", step), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"),
+					rapid.IntRange(1, 8).Draw(t, "n"), rapid.Bool().Draw(t, "home"))
+				if g := tab.Admit(a, now); g.Refusal == Admitted {
+					live = append(live, a.ID)
+				}
+				tab.Start(a.ID, now)
+			case 4:
+				if len(live) > 0 {
+					i := rapid.IntRange(0, len(live)-1).Draw(t, "end")
+					tab.Remove(live[i])
+					live = append(live[:i], live[i+1:]...)
+				}
+			}
+			checkTable(t, tab)
+		}
+	})
+}
+
+func randomHomes(t *rapid.T) map[string]config.Demand {
+	homes := make(map[string]config.Demand)
+	left := 8
+	for _, c := range []string{"a", "b", "c"} {
+		n := rapid.IntRange(0, left).Draw(t, "home")
+		left -= n
+		homes[c] = config.Demand{Slots: n, Accelerators: n}
+	}
+	return homes
+}
+
+func checkTable(t *rapid.T, tab *Table) {
+	if left := tab.physical(); left.Accelerators < 0 || left.Slots < 0 {
+		t.Fatalf("more in use than there is: %v", left)
+	}
+	if left := tab.promised(); left.Accelerators < 0 {
+		t.Fatalf("more promised than there is: %v", left)
+	}
+	// Whatever is left of a home can be had: the sum of all home work and of
+	// all free homes never exceeds the capacity.
+	var sum config.Demand
+	for c, home := range tab.homes {
+		used := tab.homeUsed(c)
+		if !used.Fits(home) {
+			t.Fatalf("home work of %s exceeds its home: %v of %v", c, used, home)
+		}
+		sum = sum.Add(home)
+	}
+	if !sum.Fits(tab.capacity) {
+		t.Fatalf("homes exceed the capacity")
+	}
+	reclaimAll(t, clone(tab))
+}
+
+// reclaimAll asks for every free home at once.
+func reclaimAll(t *rapid.T, tab *Table) {
+	for c, home := range tab.homes {
+		rest := home.Sub(tab.homeUsed(c))
+		if rest.Accelerators == 0 {
+			continue
+		}
+		a := Ask{ID: ID{Request: "reclaim-" + c, Attempt: 1}, Customer: c, Demand: rest, Home: true}
+		if g := tab.Admit(a, start); g.Refusal != Admitted {
+			t.Fatalf("%s cannot have the rest of its home %v: refusal %d", c, rest, g.Refusal)
+		}
+	}
+	for id, x := range tab.tasks {
+		if x.Phase == Stopping {
+			tab.Remove(id)
+		}
+	}
+	for id := range tab.tasks {
+		if x, _ := tab.Task(id); x.Phase == Waiting {
+			t.Fatalf("%v waits though everything that was to stop has stopped", id)
+		}
+	}
+}
+
+func clone(tab *Table) *Table {
+	c := *tab
+	c.tasks = make(map[ID]*Task, len(tab.tasks))
+	for id, x := range tab.tasks {
+		y := *x
+		c.tasks[id] = &y
+	}
+	return &c
+}
--- /dev/null
+++ b/io/frame/conn_test.go
@@ -0,0 +1,208 @@
+package frame
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"bramleythread/io/wire"
+)
+
+var testKey = []byte("0123456789abcdef")
+
+// echo answers a Run with a Result that carries its body.
+func echo(_ context.Context, _ *Conn, m wire.Message) wire.Message {
+	r, ok := m.(*wire.Run)
+	if !ok {
+		return &wire.Done{OK: true}
+	}
+	return &wire.Result{Request: r.Request, Body: r.Body}
+}
+
+// listen serves echo on loopback until the test ends.
+func listen(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		Serve(l, 16, Config{Local: wire.Hello{Name: "server"}, Key: testKey, Handle: echo}, func(*Conn) {})
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func dial(t *testing.T, addr netip.AddrPort, key []byte) (*Conn, error) {
+	t.Helper()
+	return Dial(context.Background(), addr, Config{Local: wire.Hello{Name: "client"}, Key: key, Handle: echo})
+}
+
+func TestCallsAreMatchedToTheirReplies(t *testing.T) {
+	is := is.New(t)
+	addr := listen(t)
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	c, err := dial(t, addr, testKey)
+	is.NoErr(err)
+	defer func() {
+		c.Close()
+		<-c.Done()
+	}()
+	const calls = 200
+	errs := make(chan error, calls)
+	for i := range calls {
+		go func() {
+			body := bytes.Repeat([]byte{byte(i)}, i*100)
+			m, err := c.Call(context.Background(), &wire.Run{Body: body})
+			if err == nil && !bytes.Equal(m.(*wire.Result).Body, body) {
+				err = errors.New("reply of another call")
+			}
+			errs <- err
+		}()
+	}
+	for range calls {
+		is.NoErr(<-errs)
+	}
+}
+
+func TestBodiesUpToTheFrameLimitPass(t *testing.T) {
+	is := is.New(t)
+	c, err := dial(t, listen(t), testKey)
+	is.NoErr(err)
+	defer c.Close()
+	m, err := c.Call(context.Background(), &wire.Run{Body: make([]byte, 8<<20)})
+	is.NoErr(err)
+	is.Equal(len(m.(*wire.Result).Body), 8<<20)
+}
+
+func TestWrongKeyIsTurnedAway(t *testing.T) {
+	is := is.New(t)
+	_, err := dial(t, listen(t), []byte("another key of 16"))
+	var refused *HandshakeError
+	is.True(errors.As(err, &refused))
+}
+
+// rawHandshake opens a connection by hand, so that a test can write anything.
+func rawHandshake(t *testing.T, addr netip.AddrPort) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newConn(nc, Config{Local: wire.Hello{Name: "raw"}, Key: testKey})
+	if err := c.dialHandshake(); err != nil {
+		t.Fatal(err)
+	}
+	return nc
+}
+
+func TestBadFramesLoseTheirConnectionOnly(t *testing.T) {
+	header := func(length uint32, kind wire.Kind) []byte {
+		b := make([]byte, headerSize)
+		binary.BigEndian.PutUint32(b, length)
+		b[4] = byte(kind)
+		return b
+	}
+	for name, data := range map[string][]byte{
+		"garbage":         bytes.Repeat([]byte{0xff, 0x13}, 200),
+		"huge length":     header(1<<31, wire.KindRun),
+		"over the limit":  header(MaxBody+1, wire.KindRun),
+		"unknown kind":    append(header(1, 250), 0x80),
+		"not msgpack":     append(header(3, wire.KindRun), 0xc1, 0xc1, 0xc1),
+		"huge array":      append(header(12, wire.KindReport), 0x81, 0xa5, 'u', 's', 'a', 'g', 'e', 0xdd, 0xff, 0xff, 0xff, 0xff),
+		"handshake again": append(header(1, wire.KindHello), 0x80),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr := listen(t)
+			good, err := dial(t, addr, testKey)
+			is.NoErr(err)
+			defer good.Close()
+			raw := rawHandshake(t, addr)
+			_, err = raw.Write(data)
+			is.NoErr(err)
+			if name == "handshake again" {
+				_ = raw.Close()
+			}
+			_ = raw.SetReadDeadline(time.Now().Add(10 * time.Second))
+			for err == nil {
+				_, err = raw.Read(make([]byte, 1024))
+			}
+			var timeout net.Error
+			is.True(!errors.As(err, &timeout) || !timeout.Timeout()) // the server closed it
+			_, err = good.Call(context.Background(), &wire.Run{})
+			is.NoErr(err)
+		})
+	}
+}
+
+func TestHalfAFrameLosesItsConnection(t *testing.T) {
+	is := is.New(t)
+	addr := listen(t)
+	raw := rawHandshake(t, addr)
+	frame, err := appendFrame(nil, wire.KindRun, 0, 1, &wire.Run{Body: make([]byte, 100)})
+	is.NoErr(err)
+	_, err = raw.Write(frame[:len(frame)/2])
+	is.NoErr(err)
+	_ = raw.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for err == nil {
+		_, err = raw.Read(make([]byte, 1024))
+	}
+	var timeout net.Error
+	is.True(!errors.As(err, &timeout) || !timeout.Timeout())
+}
+
+func TestClosedConnectionTellsWhatWasSent(t *testing.T) {
+	is := is.New(t)
+	c, err := dial(t, listen(t), testKey)
+	is.NoErr(err)
+	c.Close()
+	<-c.Done()
+	_, err = c.Call(context.Background(), &wire.Run{})
+	var closed *ClosedError
+	is.True(errors.As(err, &closed))
+	is.True(!closed.Sent)
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range []wire.Message{
+		&wire.Run{Request: "r", Body: []byte("body")},
+		&wire.Report{Worker: "w", Usage: []wire.Usage{{Customer: "c"}}},
+		&wire.Gang{Members: []wire.Member{{Worker: "w", Address: netip.MustParseAddrPort("127.0.0.1:1")}}},
+		&wire.Config{Seen: []wire.Seen{{Worker: "w"}}},
+	} {
+		b, err := appendFrame(nil, m.Kind(), 0, 7, m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Add([]byte{0, 0, 0, 5, byte(wire.KindReport), 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := bytes.NewReader(data)
+		h, err := readHeader(r, 1<<20)
+		if err != nil {
+			return
+		}
+		m, _, err := decodeBody(r, h, nil)
+		if err != nil {
+			return
+		}
+		if _, err := appendFrame(nil, h.kind, h.flags, h.id, m); err != nil {
+			t.Fatalf("decoded message does not encode: %v", err)
+		}
+	})
+}
--- a/io/wire/schema.go
+++ b/io/wire/schema.go
@@ -171,7 +171,7 @@
 	ContentType string        `msg:"content_type"`
 	Checkpoint  string        `msg:"checkpoint"`
 	PlanVersion uint64        `msg:"plan_version"`
-	Body        []byte        `msg:"body"`
+	Body        []byte        `msg:"body,limit=16777216"`
 }
 
 // Result ends an attempt. Digest is the SHA-256 of Body. Free is the free
@@ -184,7 +184,7 @@
 	Reason      Reason         `msg:"reason"`
 	Status      int            `msg:"status"`
 	ContentType string         `msg:"content_type"`
-	Body        []byte         `msg:"body"`
+	Body        []byte         `msg:"body,limit=16777216"`
 	Digest      []byte         `msg:"digest"`
 	Checkpoint  string         `msg:"checkpoint"`
 	Holder      netip.AddrPort `msg:"holder"`
@@ -297,9 +297,9 @@
 // they are newer than those of the asker, and the sender's view of the fleet.
 type Config struct {
 	ConfigVersion uint64 `msg:"config_version"`
-	Config        []byte `msg:"config"`
+	Config        []byte `msg:"config,limit=16777216"`
 	PlanVersion   uint64 `msg:"plan_version"`
-	Plan          []byte `msg:"plan"`
+	Plan          []byte `msg:"plan,limit=16777216"`
 	Seen          []Seen `msg:"seen"`
 }
 
--- a/io/wire/schema_gen.go
+++ b/io/wire/schema_gen.go
@@ -358,7 +358,7 @@
 				err = msgp.WrapError(err, "Config")
 				return
 			}
-			if zb0002 > zb417a25dlimitArrays {
+			if zb0002 > 16777216 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -386,7 +386,7 @@
 				err = msgp.WrapError(err, "Plan")
 				return
 			}
-			if zb0003 > zb417a25dlimitArrays {
+			if zb0003 > 16777216 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -2519,7 +2519,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0004 > zb417a25dlimitArrays {
+			if zb0004 > 16777216 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -2872,7 +2872,7 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0003 > zb417a25dlimitArrays {
+			if zb0003 > 16777216 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
