Prove at most once with real processes under failure

Cause: the claims had been tried by hand only. An unreadable configuration row is now logged once and not at every poll.

--- a/io/caller/follow.go
+++ b/io/caller/follow.go
@@ -65,7 +65,8 @@
 	e.planned.read = time.Now()
 	e.planned.revision, e.planned.known = revision, true
 	newConfig, err := e.keeper.OfferConfig(row)
-	if err != nil {
+	if err != nil && row.Version != e.planned.unreadable {
+		e.planned.unreadable = row.Version
 		e.cfg.Log.Error().Err(err).Uint64("config_version", row.Version).Msg("config_unreadable")
 	}
 	newPlan, err := e.keeper.OfferPlan(p)
--- a/io/caller/planner.go
+++ b/io/caller/planner.go
@@ -17,11 +17,12 @@
 
 // planner is the state of the planning loop. Only that loop uses it.
 type planner struct {
-	read      time.Time // of the last read of the rows
-	revision  uint64    // of the plan row
-	known     bool      // revision is fresh
-	started   time.Time
-	inherited bool // a plan was there at the start
+	read       time.Time // of the last read of the rows
+	revision   uint64    // of the plan row
+	known      bool      // revision is fresh
+	started    time.Time
+	unreadable uint64 // configuration version that was last logged as such
+	inherited  bool   // a plan was there at the start
 }
 
 // replan stores a new plan if the one in force no longer fits the
--- a/io/operator/caller_test.go
+++ b/io/operator/caller_test.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"crypto/sha256"
 	"io"
 	"net/http"
 	"net/netip"
@@ -54,3 +55,39 @@
 		err:     err,
 	}
 }
+
+func sum256(b []byte) []byte {
+	s := sha256.Sum256(b)
+	return s[:]
+}
+
+// submit posts a request without waiting for its outcome, and returns its id.
+func (f *fleet) submit(entry int, customer, service, key, body string) string {
+	f.t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://"+f.entries[entry].http.String()+"/v1/services/"+service+"/requests", strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+customer)
+	r.Header.Set("Prefer", "respond-async")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := testClient.Do(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.Header.Get("Bramleythread-Request")
+}
+
+// result waits for the outcome of a request.
+func (f *fleet) result(entry int, customer, request string) reply {
+	f.t.Helper()
+	var r reply
+	f.waitFor("outcome of "+request, callTimeout, func() bool {
+		r = call(http.MethodGet, f.entries[entry].http, customer, "/v1/requests/"+request, "", "")
+		return r.err == nil && r.status != http.StatusAccepted
+	})
+	return r
+}
--- a/io/upstream/standin.go
+++ b/io/upstream/standin.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -23,8 +22,20 @@
 	StragglerTimes int
 	ErrorShare     float64 // share of tasks that end with status 500
 	Seed           uint64
+	Step           func(step Step, t Task) // called at each step of a task; may be nil
 }
 
+// Step is a point in the life of a task on the stand-in.
+type Step string
+
+// Steps of a task.
+const (
+	StepLoaded  Step = "loaded"
+	StepStarted Step = "started"
+	StepRenewed Step = "renewed"
+	StepEnded   Step = "ended"
+)
+
 // Execution is one task that the stand-in started.
 type Execution struct {
 	ID       string    `json:"id"`
@@ -34,6 +45,7 @@
 	Rank     int       `json:"rank"`
 	Size     int       `json:"size"`
 	Resumed  bool      `json:"resumed"`
+	Loaded   time.Time `json:"loaded"`
 	Started  time.Time `json:"started"`
 	Ended    time.Time `json:"ended"` // zero while it runs
 	Result   string    `json:"result"`
@@ -68,6 +80,7 @@
 // loaded is a task that the stand-in holds.
 type loaded struct {
 	task  Task
+	at    time.Time
 	lease *time.Timer
 	end   chan string // receives the result that ends the task early
 }
@@ -147,7 +160,7 @@
 		notStarted(w, http.StatusConflict)
 		return
 	}
-	s.execute(r.Context(), w, t.ID)
+	s.execute(w, t.ID)
 }
 
 func (s *Standin) serveLoad(w http.ResponseWriter, r *http.Request) {
@@ -169,7 +182,7 @@
 		notStarted(w, http.StatusNotFound)
 		return
 	}
-	s.execute(r.Context(), w, id)
+	s.execute(w, id)
 }
 
 func (s *Standin) serveLease(w http.ResponseWriter, r *http.Request) {
@@ -225,30 +238,46 @@
 
 // load keeps a task under its lease. It reports false for a known id.
 func (s *Standin) load(t Task) bool {
+	if !s.insert(t) {
+		return false
+	}
+	s.step(StepLoaded, t)
+	return true
+}
+
+func (s *Standin) insert(t Task) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.tasks[t.ID]; ok || s.closed {
 		return false
 	}
-	x := &loaded{task: t, end: make(chan string, 1)}
+	x := &loaded{task: t, at: time.Now(), end: make(chan string, 1)}
 	x.lease = time.AfterFunc(t.Lease, func() { s.lapse(t.ID, x) })
 	s.tasks[t.ID] = x
 	return true
 }
 
+func (s *Standin) step(step Step, t Task) {
+	if s.cfg.Step != nil {
+		s.cfg.Step(step, t)
+	}
+}
+
 func (s *Standin) renew(id, lease string) bool {
 	d, err := time.ParseDuration(lease)
 	if err != nil {
 		return false
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	x, ok := s.tasks[id]
-	if !ok {
-		return false
+	if ok {
+		x.lease.Reset(d)
 	}
-	x.lease.Reset(d)
-	return true
+	s.mu.Unlock()
+	if ok {
+		s.step(StepRenewed, x.task)
+	}
+	return ok
 }
 
 // lapse ends a task whose lease was not renewed.
@@ -303,6 +332,7 @@
 		Rank:     x.task.Rank,
 		Size:     x.task.Size,
 		Resumed:  x.task.Checkpoint != "",
+		Loaded:   x.at,
 		Started:  time.Now(),
 	})
 	return x, len(s.executions) - 1, fail, runFor
@@ -320,14 +350,16 @@
 }
 
 // execute runs a loaded task to its end and writes its answer.
-func (s *Standin) execute(ctx context.Context, w http.ResponseWriter, id string) {
+func (s *Standin) execute(w http.ResponseWriter, id string) {
 	x, index, fail, runFor := s.begin(id)
 	if x == nil {
 		notStarted(w, http.StatusNotFound)
 		return
 	}
-	result := s.wait(ctx, x, runFor)
+	s.step(StepStarted, x.task)
+	result := s.wait(x, runFor)
 	s.finish(id, index, result)
+	s.step(StepEnded, x.task)
 	switch {
 	case result == resultCheckpointed:
 		w.Header().Set(headerState, stateCheckpointed)
@@ -345,7 +377,7 @@
 
 // wait lasts as long as the task runs. A caller that goes away does not stop
 // it: only its lease does.
-func (s *Standin) wait(_ context.Context, x *loaded, runFor time.Duration) string {
+func (s *Standin) wait(x *loaded, runFor time.Duration) string {
 	if runFor <= 0 {
 		return resultAnswered
 	}
