--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -238,6 +238,35 @@
 		}
 	}
 	p.sharedTokens()
+	p.unplaceable()
+}
+
+// unplaceable reports the services whose shape no part of the nominal fleet
+// can hold: their requests could never run.
+func (p *parser) unplaceable() {
+	if len(p.cfg.Racks) == 0 {
+		return
+	}
+	for _, v := range p.cfg.Services {
+		sh := p.cfg.Shape(v.Shape)
+		if sh != nil && !v.Disabled && !p.fitsFleet(sh) {
+			p.refer(p.sections["service "+v.Name], "shape", "shape %q fits on no racks", v.Shape)
+		}
+	}
+}
+
+func (p *parser) fitsFleet(sh *Shape) bool {
+	total := 0
+	for _, r := range p.cfg.Racks {
+		if !sh.Demand.Fits(r.Capacity) {
+			continue
+		}
+		if sh.SameRack && r.Workers >= sh.Workers {
+			return true
+		}
+		total += r.Workers
+	}
+	return !sh.SameRack && total >= sh.Workers
 }
 
 // refer reports a fault at a key of s, or at its header.
--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -66,6 +66,7 @@
 		"missing key":       {"[service t]\nshape = one\n", "overlay:1: service t.repeatable: missing"},
 		"shared token":      {"[customer b]\ntoken_sha256 = " + digestA + "\n", `overlay:2: customer b.token_sha256: token is also that of customer "a"`},
 		"bad digest":        {"[customer a]\ntoken_sha256 = abc\n", `overlay:2: customer a.token_sha256: "abc" is not a SHA-256 digest of 64 hexadecimal digits`},
+		"shape too large":   {"[shape one]\nworkers = 4\n", `base:16: service s.shape: shape "one" fits on no racks`},
 		"outside a section": {"weight = 1\n", "overlay:1: weight: key outside a section"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -125,17 +125,36 @@
 		a.Demand == b.Demand && slices.Equal(a.Workers, b.Workers)
 }
 
-// OnWorker returns what the plan binds to each customer on one worker.
-func (p *Plan) OnWorker(worker string) map[string]config.Demand {
-	homes := make(map[string]config.Demand)
+// Key names the homes of one customer's shape.
+type Key struct {
+	Customer string
+	Shape    string
+}
+
+// OnWorker returns what the plan binds to each shape of each customer on one
+// worker.
+func (p *Plan) OnWorker(worker string) map[Key]config.Demand {
+	homes := make(map[Key]config.Demand)
 	for _, h := range p.Homes {
 		if slices.Contains(h.Workers, worker) {
-			homes[h.Customer] = homes[h.Customer].Add(h.Demand)
+			k := Key{Customer: h.Customer, Shape: h.Shape}
+			homes[k] = homes[k].Add(h.Demand)
 		}
 	}
 	return homes
 }
 
+// CountByWorker returns the number of homes on each worker that has any.
+func (p *Plan) CountByWorker() map[string]int {
+	counts := make(map[string]int)
+	for _, h := range p.Homes {
+		for _, name := range h.Workers {
+			counts[name]++
+		}
+	}
+	return counts
+}
+
 func guaranteed(cfg *config.Config) []want {
 	var wants []want
 	for _, g := range cfg.Guarantees {
--- a/core/schedule/entity.go
+++ b/core/schedule/entity.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bramleythread/core/config"
+	"bramleythread/core/plan"
 )
 
 // WorkerReport is what an agent says of its worker.
@@ -28,14 +29,15 @@
 	Usage       []CustomerUsage
 }
 
-// CustomerUsage is what one customer uses of a worker. The Mine parts were
-// sent by this entry.
+// CustomerUsage is what one customer uses of a worker in one way. Shape is
+// that of the home, empty for borrowed resources; Guest is set for work of
+// another shape. Mine is the part that this entry sent.
 type CustomerUsage struct {
-	Customer     string
-	Home         config.Demand
-	Borrowed     config.Demand
-	MineHome     config.Demand
-	MineBorrowed config.Demand
+	Customer string
+	Shape    string
+	Guest    bool
+	Used     config.Demand
+	Mine     config.Demand
 }
 
 // Worker is one row of the worker table.
@@ -46,22 +48,27 @@
 	Ready    bool
 	Capacity config.Demand
 
-	incarnation    uint64
-	sequence       uint64
-	reported       time.Time
-	lastReady      time.Time
-	draining       bool
-	services       map[string]bool
-	others         config.Demand            // used by what other entries sent
-	mine           config.Demand            // used by what this entry sent
-	homes          map[string]config.Demand // from the plan
-	homeOthers     map[string]config.Demand
-	borrowedOthers map[string]config.Demand
-	homeMine       map[string]config.Demand
-	homed          config.Demand     // sum of homes
-	jobs           map[*Job]struct{} // placed by this entry
-	health         health
-	reservation    reservation
+	incarnation uint64
+	sequence    uint64
+	reported    time.Time
+	lastReady   time.Time
+	draining    bool
+	services    map[string]bool
+	others      config.Demand // used by what other entries sent
+	mine        config.Demand // used by what this entry sent
+	homes       map[plan.Key]config.Demand
+	inHome      map[homeUse]config.Demand // by all entries' work
+	byOthers    map[string]config.Demand  // by customer
+	homed       config.Demand             // sum of homes
+	jobs        map[*Job]struct{}         // placed by this entry
+	health      health
+	reservation reservation
+}
+
+// homeUse names work inside a home: that of the home's own shape, or guests.
+type homeUse struct {
+	key   plan.Key
+	guest bool
 }
 
 // free returns what can be placed without preemption.
@@ -69,9 +76,14 @@
 	return w.Capacity.Sub(w.others).Sub(w.mine)
 }
 
-// homeFree returns the part of a customer's home that its home work leaves.
-func (w *Worker) homeFree(customer string) config.Demand {
-	return w.homes[customer].Sub(w.homeOthers[customer]).Sub(w.homeMine[customer])
+// homeFree returns the part of a home that is left to work of the home's own
+// shape, or to guests.
+func (w *Worker) homeFree(k plan.Key, guest bool) config.Demand {
+	left := w.homes[k].Sub(w.inHome[homeUse{key: k}])
+	if guest {
+		left = left.Sub(w.inHome[homeUse{key: k, guest: true}])
+	}
+	return left
 }
 
 // Spec describes a job at submission.
@@ -98,7 +110,8 @@
 	Priority   config.Priority
 	Enqueued   time.Time
 	Attempt    int
-	Home       bool
+	Home       string // shape of the home that it uses, empty if it borrows
+	Guest      bool   // it has another shape than that home
 	Workers    []*Worker
 
 	state         jobState
@@ -126,8 +139,9 @@
 	Job     string
 	Attempt int
 	Workers []string // in the global worker order
-	Home    bool
-	Reason  string // why these workers, or why none
+	Home    string   // shape of the home to use, empty to borrow
+	Guest   bool     // the job has another shape than that home
+	Reason  string   // why these workers, or why none
 }
 
 // Refusal is the cause of a refused submission.
--- a/core/schedule/health.go
+++ b/core/schedule/health.go
@@ -18,10 +18,16 @@
 	probing  bool
 }
 
-// usable reports whether the worker may be given a task. An ejected worker
-// gets one task at a time once its period is over.
-func (h *health) usable(now time.Time) bool {
-	return !h.ejected || !h.probing && !now.Before(h.until)
+// probeDue reports whether an ejected worker may be given one task. Work that
+// may not be repeated is risked only if nothing else has come for as long again.
+func (h *health) probeDue(now time.Time, repeatable bool) bool {
+	if !h.ejected || h.probing {
+		return false
+	}
+	if repeatable {
+		return !now.Before(h.until)
+	}
+	return !now.Before(h.until.Add(h.period))
 }
 
 // placed notes that a task goes to the worker.
@@ -40,13 +46,11 @@
 // failed counts a failure. mayEject is false while too many workers are
 // ejected. It reports whether this failure ejected the worker.
 func (h *health) failed(now time.Time, mayEject bool) bool {
-	h.failures++
-	h.probing = false
 	if h.ejected {
-		h.period = min(2*h.period, ejectForLimit)
-		h.until = now.Add(h.period)
+		h.probeFailed(now)
 		return false
 	}
+	h.failures++
 	if h.failures < ejectAfter || !mayEject {
 		return false
 	}
@@ -55,3 +59,14 @@
 	h.until = now.Add(h.period)
 	return true
 }
+
+// probeFailed doubles the period. Failures of tasks that were placed before
+// the ejection say nothing new.
+func (h *health) probeFailed(now time.Time) {
+	if !h.probing {
+		return
+	}
+	h.probing = false
+	h.period = min(2*h.period, ejectForLimit)
+	h.until = now.Add(h.period)
+}
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bramleythread/core/config"
+	"bramleythread/core/plan"
 )
 
 // Submit queues a job.
@@ -122,7 +123,7 @@
 
 // Exclude keeps a job from being placed on a worker again.
 func (s *Scheduler) Exclude(id, worker string) {
-	if j, ok := s.jobs[id]; ok {
+	if j, ok := s.jobs[id]; ok && worker != "" {
 		if j.excluded == nil {
 			j.excluded = make(map[string]bool)
 		}
@@ -130,6 +131,22 @@
 	}
 }
 
+// HasOther reports whether there are enough workers that the job has not been
+// excluded from.
+func (s *Scheduler) HasOther(id string, now time.Time) bool {
+	j, ok := s.jobs[id]
+	if !ok {
+		return false
+	}
+	n := 0
+	for _, w := range s.order {
+		if w.inService(now) && w.takes(j) {
+			n++
+		}
+	}
+	return n >= j.Shape.Workers
+}
+
 // Retry puts a placed job back in its queue, to be placed no sooner than at
 // the given time.
 func (s *Scheduler) Retry(id string, at time.Time) {
@@ -178,6 +195,9 @@
 // Succeeded clears a worker's failure record.
 func (s *Scheduler) Succeeded(worker string) {
 	if w, ok := s.workers[worker]; ok {
+		if w.health.ejected {
+			s.ejected--
+		}
 		w.health.succeeded()
 	}
 }
@@ -189,40 +209,49 @@
 	if !ok {
 		return false
 	}
-	ejected := 0
-	for _, x := range s.order {
-		if x.health.ejected {
-			ejected++
-		}
+	mayEject := (s.ejected+1)*100 <= s.cfg.Limits.EjectPercent*len(s.order)
+	if !w.health.failed(now, mayEject) {
+		return false
+	}
+	s.ejected++
+	return true
+}
+
+// homeUse returns the way in which a job uses a home; ok is false if it
+// borrows.
+func (j *Job) homeUse() (use homeUse, ok bool) {
+	if j.Home == "" {
+		return homeUse{}, false
 	}
-	mayEject := (ejected+1)*100 <= s.cfg.Limits.EjectPercent*len(s.order)
-	return w.health.failed(now, mayEject)
+	return homeUse{key: plan.Key{Customer: j.Customer, Shape: j.Home}, guest: j.Guest}, true
 }
 
 // occupy books a job's demand on the workers that it is placed on.
 func (s *Scheduler) occupy(j *Job) {
+	use, home := j.homeUse()
 	for _, w := range j.Workers {
 		w.mine = w.mine.Add(j.Shape.Demand)
 		w.jobs[j] = struct{}{}
 		w.health.placed()
-		if j.Home {
-			w.homeMine[j.Customer] = w.homeMine[j.Customer].Add(j.Shape.Demand)
+		if home {
+			w.inHome[use] = w.inHome[use].Add(j.Shape.Demand)
 		}
 	}
 	s.used[j.Customer] = s.used[j.Customer].Add(j.Shape.Demand.Scale(len(j.Workers)))
 }
 
 func (s *Scheduler) unplace(j *Job) {
+	use, home := j.homeUse()
 	for _, w := range j.Workers {
 		w.mine = w.mine.Sub(j.Shape.Demand)
 		delete(w.jobs, j)
 		w.health.idle()
-		if j.Home {
-			w.homeMine[j.Customer] = w.homeMine[j.Customer].Sub(j.Shape.Demand)
+		if home {
+			w.inHome[use] = w.inHome[use].Sub(j.Shape.Demand)
 		}
 	}
 	s.used[j.Customer] = s.used[j.Customer].Sub(j.Shape.Demand.Scale(len(j.Workers)))
 	j.Workers = nil
-	j.Home = false
+	j.Home, j.Guest = "", false
 	s.dirty = true
 }
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -11,7 +11,8 @@
 // candidate is a set of workers on which a job can be placed.
 type candidate struct {
 	workers []*Worker
-	home    bool
+	home    string // shape of the home, empty to borrow
+	guest   bool
 	reason  string
 }
 
@@ -20,11 +21,15 @@
 	reasonHome     = "home"
 	reasonReclaim  = "home_reclaimed"
 	reasonBorrowed = "borrowed"
+	reasonProbe    = "probe_of_ejected_worker"
 )
 
 // find looks for workers for a job: first its customer's home as far as it is
 // free, then free resources anywhere, then a home that others have borrowed.
 func (s *Scheduler) find(j *Job, now time.Time) (candidate, bool) {
+	if c, ok := s.findProbe(j, now); ok {
+		return c, true
+	}
 	if c, ok := s.findHome(j, now, true); ok {
 		return c, true
 	}
@@ -37,6 +42,23 @@
 	return s.findHome(j, now, false)
 }
 
+// findProbe looks for an ejected worker that may be given one task.
+func (s *Scheduler) findProbe(j *Job, now time.Time) (candidate, bool) {
+	if s.ejected == 0 || j.Shape.Workers != 1 || s.overQuota(j) {
+		return candidate{}, false
+	}
+	for _, w := range s.order {
+		if w.health.probeDue(now, j.Repeatable) && w.inService(now) && w.takes(j) && j.Shape.Demand.Fits(w.free()) {
+			return candidate{workers: []*Worker{w}, reason: reasonProbe}, true
+		}
+	}
+	return candidate{}, false
+}
+
+// takes reports whether the worker runs the job's service and has not failed
+// it before.
+func (w *Worker) takes(j *Job) bool { return w.services[j.Service] && !j.excluded[w.Name] }
+
 // findHome looks for a home of the job's customer that has room. onlyFree
 // leaves out homes in which work would have to be preempted.
 func (s *Scheduler) findHome(j *Job, now time.Time, onlyFree bool) (candidate, bool) {
@@ -49,7 +71,7 @@
 		if onlyFree {
 			reason = reasonHome
 		}
-		return candidate{workers: workers, home: true, reason: reason}, true
+		return candidate{workers: workers, home: h.Shape, guest: h.Shape != j.Shape.Name, reason: reason}, true
 	}
 	return candidate{}, false
 }
@@ -86,9 +108,11 @@
 
 func (s *Scheduler) homeWorkers(j *Job, h plan.Home, now time.Time, onlyFree bool) []*Worker {
 	var picked []*Worker
+	k := plan.Key{Customer: h.Customer, Shape: h.Shape}
+	guest := h.Shape != j.Shape.Name
 	for _, name := range h.Workers {
 		w, ok := s.workers[name]
-		if !ok || !s.eligible(w, j, now) || !j.Shape.Demand.Fits(w.homeFree(j.Customer)) {
+		if !ok || !s.eligible(w, j, now) || !j.Shape.Demand.Fits(w.homeFree(k, guest)) {
 			continue
 		}
 		if onlyFree && !j.Shape.Demand.Fits(w.free()) {
@@ -105,7 +129,7 @@
 
 // eligible reports whether a worker may be given the job at all.
 func (s *Scheduler) eligible(w *Worker, j *Job, now time.Time) bool {
-	return w.services[j.Service] && !j.excluded[w.Name] && s.Usable(w, now)
+	return w.takes(j) && s.Usable(w, now)
 }
 
 // findFree looks for free resources outside the customer's homes.
--- a/core/schedule/reserve.go
+++ b/core/schedule/reserve.go
@@ -99,7 +99,7 @@
 // expected is expected to run as long again.
 func (s *Scheduler) expectedEnd(j *Job, now time.Time) time.Time {
 	attained := now.Sub(j.started)
-	return j.started.Add(max(s.expected(j.Service), 2*attained))
+	return j.started.Add(max(s.Expected(j.Service), 2*attained))
 }
 
 // mayUse reports whether the job may use a worker that may be reserved.
@@ -108,5 +108,5 @@
 	if r.job == nil || r.job == j {
 		return true
 	}
-	return !now.Add(s.expected(j.Service)).After(r.end)
+	return !now.Add(s.Expected(j.Service)).After(r.end)
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -32,6 +32,7 @@
 	customers map[string]int // waiting jobs by customer
 	homes     map[string][]plan.Home
 	total     config.Demand
+	ejected   int // workers
 	dirty     bool
 }
 
@@ -136,21 +137,26 @@
 // applyUsage replaces what other entries use of the worker. What this entry
 // uses is known here first and is not taken from the report.
 func (s *Scheduler) applyUsage(w *Worker, r WorkerReport) {
-	for customer, d := range w.homeOthers {
+	for customer, d := range w.byOthers {
 		s.used[customer] = s.used[customer].Sub(d)
 	}
-	for customer, d := range w.borrowedOthers {
-		s.used[customer] = s.used[customer].Sub(d)
-	}
-	w.homeOthers = make(map[string]config.Demand, len(r.Usage))
-	w.borrowedOthers = make(map[string]config.Demand, len(r.Usage))
+	clear(w.byOthers)
+	clear(w.inHome)
 	w.others = config.Demand{}
 	for _, u := range r.Usage {
-		home, borrowed := u.Home.Sub(u.MineHome), u.Borrowed.Sub(u.MineBorrowed)
-		w.homeOthers[u.Customer] = home
-		w.borrowedOthers[u.Customer] = borrowed
-		w.others = w.others.Add(home).Add(borrowed)
-		s.used[u.Customer] = s.used[u.Customer].Add(home).Add(borrowed)
+		d := u.Used.Sub(u.Mine)
+		w.byOthers[u.Customer] = w.byOthers[u.Customer].Add(d)
+		w.others = w.others.Add(d)
+		s.used[u.Customer] = s.used[u.Customer].Add(d)
+		if u.Shape != "" {
+			use := homeUse{key: plan.Key{Customer: u.Customer, Shape: u.Shape}, guest: u.Guest}
+			w.inHome[use] = w.inHome[use].Add(d)
+		}
+	}
+	for j := range w.jobs {
+		if use, ok := j.homeUse(); ok {
+			w.inHome[use] = w.inHome[use].Add(j.Shape.Demand)
+		}
 	}
 }
 
@@ -159,7 +165,8 @@
 		Name:     r.Name,
 		Zone:     r.Zone,
 		Rack:     r.Rack,
-		homeMine: make(map[string]config.Demand),
+		inHome:   make(map[homeUse]config.Demand),
+		byOthers: make(map[string]config.Demand),
 		jobs:     make(map[*Job]struct{}),
 	}
 	s.workers[r.Name] = w
@@ -202,6 +209,9 @@
 			s.applyUsage(w, WorkerReport{})
 			s.total = s.total.Sub(w.Capacity)
 			delete(s.workers, name)
+			if w.health.ejected {
+				s.ejected--
+			}
 			names = append(names, name)
 		}
 	}
@@ -239,7 +249,12 @@
 
 // Usable reports whether the worker would be given a task now.
 func (s *Scheduler) Usable(w *Worker, now time.Time) bool {
-	return w.Ready && now.Sub(w.reported) <= Silence && w.health.usable(now)
+	return w.inService(now) && !w.health.ejected
+}
+
+// inService reports whether the worker is ready and its reports are fresh.
+func (w *Worker) inService(now time.Time) bool {
+	return w.Ready && now.Sub(w.reported) <= Silence
 }
 
 // Ejected reports whether the worker is ejected.
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -75,13 +75,13 @@
 	j.Attempt++
 	j.started = now
 	j.Workers = c.workers
-	j.Home = c.home
+	j.Home, j.Guest = c.home, c.guest
 	s.occupy(j)
 	names := make([]string, len(c.workers))
 	for i, w := range c.workers {
 		names[i] = w.Name
 	}
-	return Decision{Kind: Place, Job: j.ID, Attempt: j.Attempt, Workers: names, Home: c.home, Reason: c.reason}
+	return Decision{Kind: Place, Job: j.ID, Attempt: j.Attempt, Workers: names, Home: c.home, Guest: c.guest, Reason: c.reason}
 }
 
 // mostPressing returns the lane whose head is placed next, or nil.
@@ -123,7 +123,7 @@
 	}
 	cost := 1.0
 	if s.policy.ShortFirst {
-		cost *= s.expected(l.key.service).Seconds()
+		cost *= s.Expected(l.key.service).Seconds()
 	}
 	if s.policy.FairShare {
 		cost *= 1 + s.share(l.key.customer)
@@ -134,8 +134,8 @@
 	return cost
 }
 
-// expected returns the run time that is expected of a service.
-func (s *Scheduler) expected(service string) time.Duration {
+// Expected returns the run time that is expected of a service.
+func (s *Scheduler) Expected(service string) time.Duration {
 	var declared time.Duration
 	if v := s.cfg.Service(service); v != nil && s.policy.Hints {
 		declared = v.RunTime
--- a/core/worker/table.go
+++ b/core/worker/table.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleythread/core/config"
+	"bramleythread/core/plan"
 )
 
 // Table is the state of one worker. It is not safe for concurrent use.
@@ -14,14 +15,14 @@
 	capacity config.Demand
 	service  bool // the worker takes new tasks
 	version  uint64
-	homes    map[string]config.Demand
+	homes    map[plan.Key]config.Demand
 	tasks    map[ID]*Task
 	sequence uint64
 }
 
 // NewTable returns the table of a worker that is out of service.
 func NewTable() *Table {
-	return &Table{homes: make(map[string]config.Demand), tasks: make(map[ID]*Task)}
+	return &Table{homes: make(map[plan.Key]config.Demand), tasks: make(map[ID]*Task)}
 }
 
 // SetCapacity sets the worker's resources. Tasks that run keep theirs.
@@ -42,7 +43,7 @@
 // SetHomes puts a plan in force and reports whether it did; an older plan, or
 // one that is in force already, changes nothing. Work outside its customer's
 // new home becomes borrowed.
-func (t *Table) SetHomes(version uint64, homes map[string]config.Demand) bool {
+func (t *Table) SetHomes(version uint64, homes map[plan.Key]config.Demand) bool {
 	if version <= t.version {
 		return false
 	}
@@ -52,22 +53,27 @@
 	return true
 }
 
-// assignHomes gives the homes to the tasks that asked for them, oldest first.
+// assignHomes gives the homes to the tasks that asked for them, those of the
+// home's own shape before guests, oldest first.
 func (t *Table) assignHomes() {
-	used := make(map[string]config.Demand)
-	for _, x := range t.ordered() {
-		x.Home = false
-		if !x.askedHome || x.Phase == Stopping {
-			continue
-		}
-		sum := used[x.Customer].Add(x.Demand)
-		if sum.Fits(t.homes[x.Customer]) {
-			x.Home = true
-			used[x.Customer] = sum
+	used := make(map[plan.Key]config.Demand)
+	for _, guests := range []bool{false, true} {
+		for _, x := range t.ordered() {
+			if x.Guest != guests {
+				continue
+			}
+			sum := used[x.key()].Add(x.Demand)
+			x.Home = x.Shape != "" && x.Phase != Stopping && sum.Fits(t.homes[x.key()])
+			if x.Home {
+				used[x.key()] = sum
+			}
 		}
 	}
 }
 
+// key names the home that the task asked for.
+func (x *Task) key() plan.Key { return plan.Key{Customer: x.Customer, Shape: x.Shape} }
+
 // ordered returns the tasks in the order of their admission.
 func (t *Table) ordered() []*Task {
 	return slices.SortedFunc(maps.Values(t.tasks), func(a, b *Task) int {
@@ -119,32 +125,25 @@
 	return left
 }
 
-// Usage returns what each customer uses; mine is the entry whose part is
-// counted apart.
-func (t *Table) Usage(mine string) map[string]Usage {
-	sums := make(map[string]Usage)
+// Usage returns what each customer uses and in which way; mine is the entry
+// whose part is counted apart.
+func (t *Table) Usage(mine string) map[UsageKey]Usage {
+	sums := make(map[UsageKey]Usage)
 	for _, x := range t.tasks {
-		u := sums[x.Customer]
-		u.add(x, x.Entry == mine)
-		sums[x.Customer] = u
+		k := UsageKey{Customer: x.Customer}
+		if x.Home {
+			k.Shape, k.Guest = x.Shape, x.Guest
+		}
+		u := sums[k]
+		u.Used = u.Used.Add(x.Demand)
+		if x.Entry == mine {
+			u.Mine = u.Mine.Add(x.Demand)
+		}
+		sums[k] = u
 	}
 	return sums
 }
 
-func (u *Usage) add(x *Task, mine bool) {
-	if x.Home {
-		u.Home = u.Home.Add(x.Demand)
-	} else {
-		u.Borrowed = u.Borrowed.Add(x.Demand)
-	}
-	switch {
-	case mine && x.Home:
-		u.MineHome = u.MineHome.Add(x.Demand)
-	case mine:
-		u.MineBorrowed = u.MineBorrowed.Add(x.Demand)
-	}
-}
-
 // Admit decides on a task. A task that asks for its customer's home is
 // admitted if the home has room, whoever else uses it now.
 func (t *Table) Admit(a Ask, now time.Time) Grant {
@@ -154,7 +153,7 @@
 	if _, ok := t.tasks[a.ID]; ok {
 		return Grant{Refusal: Duplicate}
 	}
-	if !a.Home {
+	if a.Shape == "" {
 		return t.admitBorrowed(a, now)
 	}
 	return t.admitHome(a, now)
@@ -169,7 +168,8 @@
 }
 
 func (t *Table) admitHome(a Ask, now time.Time) Grant {
-	if !t.homeUsed(a.Customer).Add(a.Demand).Fits(t.homes[a.Customer]) {
+	k := plan.Key{Customer: a.Customer, Shape: a.Shape}
+	if !t.homeUsed(k, a.Guest).Add(a.Demand).Fits(t.homes[k]) {
 		return Grant{Refusal: NoHome}
 	}
 	victims, ok := t.victims(a)
@@ -180,14 +180,18 @@
 		t.Stop(id)
 	}
 	x := t.insert(a, now, true)
+	// Guests that no longer fit beside it become borrowed.
+	t.assignHomes()
 	t.promote()
 	return Grant{Ready: x.Phase == Held, Victims: victims}
 }
 
-func (t *Table) homeUsed(customer string) config.Demand {
+// homeUsed returns what the work inside a home uses. Work of the home's own
+// shape can preempt guests, so they count for other guests only.
+func (t *Table) homeUsed(k plan.Key, guests bool) config.Demand {
 	var sum config.Demand
 	for _, x := range t.tasks {
-		if x.Customer == customer && x.Home && x.Phase != Stopping {
+		if x.Home && x.Phase != Stopping && x.key() == k && (guests || !x.Guest) {
 			sum = sum.Add(x.Demand)
 		}
 	}
@@ -197,15 +201,16 @@
 func (t *Table) insert(a Ask, now time.Time, home bool) *Task {
 	t.sequence++
 	x := &Task{
-		ID:        a.ID,
-		Entry:     a.Entry,
-		Customer:  a.Customer,
-		Demand:    a.Demand,
-		Home:      home,
-		Gang:      a.Gang,
-		Phase:     Held,
-		askedHome: home,
-		sequence:  t.sequence,
+		ID:       a.ID,
+		Entry:    a.Entry,
+		Customer: a.Customer,
+		Demand:   a.Demand,
+		Shape:    a.Shape,
+		Guest:    a.Guest,
+		Home:     home,
+		Gang:     a.Gang,
+		Phase:    Held,
+		sequence: t.sequence,
 	}
 	if home {
 		x.Phase = Waiting
@@ -217,16 +222,16 @@
 	return x
 }
 
-// victims picks the borrowed tasks that must stop for a to fit: other
-// customers' before its own, single tasks before gangs, the newest first. A
-// task that turns out not to be needed is spared.
+// victims picks the tasks that must stop for a to fit: borrowed before guests
+// of the home, other customers' before its own, single tasks before gangs, the
+// newest first. A task that turns out not to be needed is spared.
 func (t *Table) victims(a Ask) (ids []ID, ok bool) {
 	left := t.promised()
 	if a.Demand.Fits(left) {
 		return nil, true
 	}
 	var picked []*Task
-	for _, x := range t.borrowed(a.Customer) {
+	for _, x := range t.preemptible(a) {
 		left = left.Add(x.Demand)
 		picked = append(picked, x)
 		if a.Demand.Fits(left) {
@@ -246,18 +251,21 @@
 	return ids, true
 }
 
-func (t *Table) borrowed(customer string) []*Task {
+// preemptible returns the tasks that a may preempt, the first to go first.
+func (t *Table) preemptible(a Ask) []*Task {
 	var rows []*Task
 	for _, x := range t.tasks {
-		if !x.Home && x.Phase != Stopping {
+		guest := !a.Guest && x.Guest && x.Customer == a.Customer && x.Shape == a.Shape
+		if x.Phase != Stopping && (!x.Home || guest) {
 			rows = append(rows, x)
 		}
 	}
-	slices.SortFunc(rows, func(a, b *Task) int {
+	slices.SortFunc(rows, func(x, y *Task) int {
 		return cmp.Or(
-			compareBool(a.Customer == customer, b.Customer == customer),
-			compareBool(a.Gang, b.Gang),
-			cmp.Compare(b.sequence, a.sequence),
+			compareBool(x.Home, y.Home),
+			compareBool(x.Customer == a.Customer, y.Customer == a.Customer),
+			compareBool(x.Gang, y.Gang),
+			cmp.Compare(y.sequence, x.sequence),
 		)
 	})
 	return rows
--- a/core/worker/table_test.go
+++ b/core/worker/table_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"bramleythread/core/config"
+	"bramleythread/core/plan"
 )
 
 // TestMain fixes the seed of the property tests.
@@ -24,16 +25,26 @@
 var start = time.Unix(1_800_000_000, 0)
 
 func ask(request, customer string, n int, home bool) Ask {
-	return Ask{ID: ID{Request: request, Attempt: 1}, Customer: customer, Demand: config.Demand{Slots: n, Accelerators: n}, Home: home}
+	return Ask{ID: ID{Request: request, Attempt: 1}, Customer: customer, Demand: config.Demand{Slots: n, Accelerators: n}, Shape: shapeIf(home)}
+}
+
+// homeOf is the key of a customer's home in these tests.
+func homeOf(customer string) plan.Key { return plan.Key{Customer: customer, Shape: "home"} }
+
+func shapeIf(home bool) string {
+	if home {
+		return "home"
+	}
+	return ""
 }
 
 func newTestTable(homes map[string]int) *Table {
 	t := NewTable()
 	t.SetCapacity(config.Demand{Slots: 8, Accelerators: 8})
 	t.SetService(true)
-	demands := make(map[string]config.Demand)
+	demands := make(map[plan.Key]config.Demand)
 	for c, n := range homes {
-		demands[c] = config.Demand{Slots: n, Accelerators: n}
+		demands[homeOf(c)] = config.Demand{Slots: n, Accelerators: n}
 	}
 	t.SetHomes(1, demands)
 	return t
@@ -69,10 +80,24 @@
 	is.Equal(g.Victims, []ID{{"a3", 1}})
 }
 
+func TestGuestsMakeRoomForTheHomesShape(t *testing.T) {
+	is := is.New(t)
+	tab := newTestTable(map[string]int{"a": 8})
+	guest := ask("guest", "a", 1, true)
+	guest.Guest = true
+	is.Equal(tab.Admit(guest, start).Refusal, Admitted)
+	is.Equal(tab.Admit(ask("b", "b", 7, false), start).Refusal, Admitted)
+	g := tab.Admit(ask("own", "a", 8, true), start)
+	is.Equal(g.Victims, []ID{{"b", 1}, {"guest", 1}})
+	other := ask("guest-2", "a", 1, true)
+	other.Guest = true
+	is.Equal(tab.Admit(other, start).Refusal, NoHome)
+}
+
 func TestOlderPlanIsIgnored(t *testing.T) {
 	is := is.New(t)
 	tab := newTestTable(nil)
-	is.True(tab.SetHomes(5, map[string]config.Demand{"a": {Slots: 1}}))
+	is.True(tab.SetHomes(5, map[plan.Key]config.Demand{homeOf("a"): {Slots: 1}}))
 	is.True(!tab.SetHomes(4, nil))
 	is.True(!tab.SetHomes(5, nil))
 	is.Equal(tab.PlanVersion(), uint64(5))
@@ -108,6 +133,7 @@
 			case 1, 2, 3:
 				a := ask(fmt.Sprint("q", step), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"),
 					rapid.IntRange(1, 8).Draw(t, "n"), rapid.Bool().Draw(t, "home"))
+				a.Guest = a.Shape != "" && rapid.Bool().Draw(t, "guest")
 				if g := tab.Admit(a, now); g.Refusal == Admitted {
 					live = append(live, a.ID)
 				}
@@ -124,13 +150,13 @@
 	})
 }
 
-func randomHomes(t *rapid.T) map[string]config.Demand {
-	homes := make(map[string]config.Demand)
+func randomHomes(t *rapid.T) map[plan.Key]config.Demand {
+	homes := make(map[plan.Key]config.Demand)
 	left := 8
 	for _, c := range []string{"a", "b", "c"} {
 		n := rapid.IntRange(0, left).Draw(t, "home")
 		left -= n
-		homes[c] = config.Demand{Slots: n, Accelerators: n}
+		homes[homeOf(c)] = config.Demand{Slots: n, Accelerators: n}
 	}
 	return homes
 }
@@ -145,10 +171,10 @@
 	// Whatever is left of a home can be had: the sum of all home work and of
 	// all free homes never exceeds the capacity.
 	var sum config.Demand
-	for c, home := range tab.homes {
-		used := tab.homeUsed(c)
+	for k, home := range tab.homes {
+		used := tab.homeUsed(k, false)
 		if !used.Fits(home) {
-			t.Fatalf("home work of %s exceeds its home: %v of %v", c, used, home)
+			t.Fatalf("home work of %s exceeds its home: %v of %v", k.Customer, used, home)
 		}
 		sum = sum.Add(home)
 	}
@@ -160,14 +186,14 @@
 
 // reclaimAll asks for every free home at once.
 func reclaimAll(t *rapid.T, tab *Table) {
-	for c, home := range tab.homes {
-		rest := home.Sub(tab.homeUsed(c))
+	for k, home := range tab.homes {
+		rest := home.Sub(tab.homeUsed(k, false))
 		if rest.Accelerators == 0 {
 			continue
 		}
-		a := Ask{ID: ID{Request: "reclaim-" + c, Attempt: 1}, Customer: c, Demand: rest, Home: true}
+		a := Ask{ID: ID{Request: "reclaim-" + k.Customer, Attempt: 1}, Customer: k.Customer, Demand: rest, Shape: k.Shape}
 		if g := tab.Admit(a, start); g.Refusal != Admitted {
-			t.Fatalf("%s cannot have the rest of its home %v: refusal %d", c, rest, g.Refusal)
+			t.Fatalf("%s cannot have the rest of its home %v: refusal %d", k.Customer, rest, g.Refusal)
 		}
 	}
 	for id, x := range tab.tasks {
--- a/core/worker/task.go
+++ b/core/worker/task.go
@@ -35,17 +35,18 @@
 
 // Task is one row of the task table.
 type Task struct {
-	ID        ID
-	Entry     string // the entry that sent it
-	Customer  string
-	Demand    config.Demand
-	Home      bool // inside its customer's home: cannot be preempted
-	Gang      bool
-	Phase     Phase
-	Until     time.Time // end of the hold or the gang lease; zero for none
-	Started   time.Time
-	askedHome bool
-	sequence  uint64
+	ID       ID
+	Entry    string // the entry that sent it
+	Customer string
+	Demand   config.Demand
+	Shape    string // of its home; empty for borrowed resources
+	Guest    bool   // has another shape than its home
+	Home     bool   // inside its home: cannot be preempted by other customers
+	Gang     bool
+	Phase    Phase
+	Until    time.Time // end of the hold or the gang lease; zero for none
+	Started  time.Time
+	sequence uint64
 }
 
 // Ask describes a task for admission.
@@ -54,7 +55,8 @@
 	Entry    string
 	Customer string
 	Demand   config.Demand
-	Home     bool
+	Shape    string // of the home that it is to use; empty to borrow
+	Guest    bool   // it has another shape than that home
 	Gang     bool
 	Limit    time.Duration // life of the hold; 0 for none
 }
@@ -95,8 +97,16 @@
 	ID   ID
 }
 
-// Usage is what one customer uses, with the part that one entry sent.
+// UsageKey names one way in which a customer uses a worker. Shape is that of
+// the home, empty for borrowed resources.
+type UsageKey struct {
+	Customer string
+	Shape    string
+	Guest    bool
+}
+
+// Usage is what is used, with the part that one entry sent.
 type Usage struct {
-	Home, Borrowed         config.Demand
-	MineHome, MineBorrowed config.Demand
+	Used config.Demand
+	Mine config.Demand
 }
--- a/io/caller/convert.go
+++ b/io/caller/convert.go
@@ -12,11 +12,11 @@
 	out := make([]schedule.CustomerUsage, len(rows))
 	for i, u := range rows {
 		out[i] = schedule.CustomerUsage{
-			Customer:     u.Customer,
-			Home:         demand(u.Home),
-			Borrowed:     demand(u.Borrowed),
-			MineHome:     demand(u.MineHome),
-			MineBorrowed: demand(u.MineBorrowed),
+			Customer: u.Customer,
+			Shape:    u.Shape,
+			Guest:    u.Guest,
+			Used:     demand(u.Used),
+			Mine:     demand(u.Mine),
 		}
 	}
 	return out
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -20,7 +20,8 @@
 	firstPause     = 10 * time.Millisecond
 	maxPause       = 500 * time.Millisecond
 	storePause     = 300 * time.Millisecond
-	reconnectLimit = 3 * time.Second // for a lost agent to come back
+	reconnectLimit = 3 * time.Second        // for a lost agent to come back
+	reconnectFloor = 200 * time.Millisecond // the same, for short work
 	reconnectPoll  = 50 * time.Millisecond
 	fetchLimit     = 2 * time.Second // beyond the deadline, for a result
 	callMargin     = 500 * time.Millisecond
@@ -61,7 +62,7 @@
 
 func (e *Entry) runMessage(r *request, d schedule.Decision, now time.Time) *wire.Run {
 	shape := e.sched.Shape(d.Job)
-	m := &wire.Run{
+	return &wire.Run{
 		Request:     r.id,
 		Attempt:     d.Attempt,
 		Customer:    r.customer,
@@ -70,16 +71,13 @@
 		Repeatable:  r.service.Repeatable,
 		Demand:      wire.Demand(shape.Demand),
 		Home:        d.Home,
+		Guest:       d.Guest,
 		Timeout:     r.deadline.Sub(now),
 		Grace:       r.service.Grace,
 		ContentType: r.contentType,
 		Checkpoint:  r.checkpoint,
 		Body:        r.body,
 	}
-	if p := e.keeper.Plan(); p != nil {
-		m.PlanVersion = p.Version
-	}
-	return m
 }
 
 // dispatch sends one attempt to its workers and deals with what comes back.
@@ -154,13 +152,22 @@
 // work is tried on another worker while attempts and budget last.
 func (e *Entry) settleFailed(r *request, worker string, result *wire.Result) {
 	e.blame(r, worker, "status")
-	if !r.service.Repeatable || !e.mayRetry(r) {
+	if !r.service.Repeatable || !e.hasOther(r, worker) || !e.mayRetry(r) {
 		e.end(r, result, 0)
 		return
 	}
 	e.again(r, worker, "upstream failed", time.Now())
 }
 
+// hasOther reports whether a request can be placed off the worker that it
+// failed on. One that has failed on every worker is not worth a wait.
+func (e *Entry) hasOther(r *request, worker string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sched.Exclude(r.id, worker)
+	return e.sched.HasOther(r.id, time.Now())
+}
+
 // blame counts a failure of a worker.
 func (e *Entry) blame(r *request, worker, cause string) {
 	now := time.Now()
@@ -306,8 +313,10 @@
 	e.mu.Lock()
 	attempt, incarnation := r.attempt, r.incarnation
 	r.note(time.Now(), "reply of %s lost: %s", worker, cause)
+	// Work is not worth a longer wait than its own run time.
+	wait := min(max(e.sched.Expected(r.service.Name), reconnectFloor), reconnectLimit)
 	e.mu.Unlock()
-	end := time.Now().Add(reconnectLimit)
+	end := time.Now().Add(wait)
 	if !r.service.Repeatable {
 		end = r.deadline
 	}
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -55,7 +55,8 @@
 	finished []*request // oldest first
 	kept     int        // bytes of the finished bodies
 	sequence uint64
-	draining bool
+	draining bool // readiness is off
+	stopping bool // nothing new is taken in
 	known    map[netip.AddrPort]*knownEntry
 	seen     map[string]time.Time // workers that other entries hear
 	planned  planner
@@ -163,10 +164,12 @@
 	e.draining = true
 }
 
-// Drain ends readiness and waits until no request is in flight, at most for
-// the given time.
+// Drain takes in nothing new and waits until no request is in flight, at most
+// for the given time.
 func (e *Entry) Drain(limit time.Duration) {
-	e.StopReadiness()
+	e.mu.Lock()
+	e.draining, e.stopping = true, true
+	e.mu.Unlock()
 	e.cfg.Log.Info().Dur("limit", limit).Msg("drain_started")
 	end := time.Now().Add(limit)
 	for time.Now().Before(end) && e.inFlight() > 0 {
--- a/io/caller/follow.go
+++ b/io/caller/follow.go
@@ -123,8 +123,8 @@
 	}
 	_, version := e.keeper.Config()
 	m := &wire.Homes{ConfigVersion: version, PlanVersion: p.Version}
-	for customer, d := range p.OnWorker(worker) {
-		m.Homes = append(m.Homes, wire.Home{Customer: customer, Demand: wire.Demand(d)})
+	for k, d := range p.OnWorker(worker) {
+		m.Homes = append(m.Homes, wire.Home{Customer: k.Customer, Shape: k.Shape, Demand: wire.Demand(d)})
 	}
 	return m
 }
--- a/io/caller/gang.go
+++ b/io/caller/gang.go
@@ -56,6 +56,7 @@
 		Customer: m.Customer,
 		Demand:   m.Demand,
 		Home:     m.Home,
+		Guest:    m.Guest,
 		Limit:    holdLimit,
 		Grace:    m.Grace,
 	})
--- a/io/caller/operators.go
+++ b/io/caller/operators.go
@@ -20,6 +20,7 @@
 	ConfigTime    time.Time      `json:"config_time"`
 	PlanVersion   uint64         `json:"plan_version"`
 	Missing       []plan.Missing `json:"missing_homes"`
+	Homes         map[string]int `json:"homes"` // number of homes by worker
 	Queued        int            `json:"queued"`
 	Fragmentation float64        `json:"fragmentation"`
 	Entries       []string       `json:"entries"`
@@ -81,7 +82,7 @@
 		ConfigTime:    row.Time,
 	}
 	if p != nil {
-		s.PlanVersion, s.Missing = p.Version, p.Missing
+		s.PlanVersion, s.Missing, s.Homes = p.Version, p.Missing, p.CountByWorker()
 	}
 	for _, addr := range e.entries() {
 		s.Entries = append(s.Entries, addr.String())
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -65,6 +65,9 @@
 	return platform.ClaimKey(r.customer, r.service.Name, r.key)
 }
 
+// refusedStopping is the cause of a refusal by an entry that is about to end.
+const refusedStopping schedule.Refusal = "entry_is_stopping"
+
 // accept queues a request. If a request with the same key is known, that one
 // is returned; refusal says why a request was not accepted.
 func (e *Entry) accept(r *request) (known *request, refusal schedule.Refusal) {
@@ -75,6 +78,9 @@
 			return old, schedule.Accepted
 		}
 	}
+	if e.stopping {
+		return nil, refusedStopping
+	}
 	e.sequence++
 	r.id = fmt.Sprintf("%s-%x-%d", e.cfg.Name, e.cfg.Incarnation, e.sequence)
 	refusal = e.sched.Submit(schedule.Spec{
--- a/io/entry/agent.go
+++ b/io/entry/agent.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"bramleythread/core/config"
+	"bramleythread/core/plan"
 	"bramleythread/core/worker"
 	"bramleythread/io/frame"
 	"bramleythread/io/platform"
@@ -226,9 +227,9 @@
 
 // setHomes puts homes from an entry in force.
 func (a *Agent) setHomes(m *wire.Homes) {
-	homes := make(map[string]config.Demand, len(m.Homes))
+	homes := make(map[plan.Key]config.Demand, len(m.Homes))
 	for _, h := range m.Homes {
-		homes[h.Customer] = config.Demand(h.Demand)
+		homes[plan.Key{Customer: h.Customer, Shape: h.Shape}] = config.Demand(h.Demand)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/io/entry/link.go
+++ b/io/entry/link.go
@@ -185,13 +185,13 @@
 		ConfigVersion: a.config,
 		PlanVersion:   a.table.PlanVersion(),
 	}
-	for customer, u := range a.table.Usage(entry) {
+	for k, u := range a.table.Usage(entry) {
 		r.Usage = append(r.Usage, wire.Usage{
-			Customer:     customer,
-			Home:         wire.Demand(u.Home),
-			Borrowed:     wire.Demand(u.Borrowed),
-			MineHome:     wire.Demand(u.MineHome),
-			MineBorrowed: wire.Demand(u.MineBorrowed),
+			Customer: k.Customer,
+			Shape:    k.Shape,
+			Guest:    k.Guest,
+			Used:     wire.Demand(u.Used),
+			Mine:     wire.Demand(u.Mine),
 		})
 	}
 	return r
--- a/io/entry/member.go
+++ b/io/entry/member.go
@@ -21,6 +21,7 @@
 		Customer:   m.Customer,
 		Demand:     m.Demand,
 		Home:       m.Home,
+		Guest:      m.Guest,
 		Grace:      m.Grace,
 		Repeatable: true,
 		Timeout:    m.Limit,
@@ -33,7 +34,8 @@
 		Entry:    entry,
 		Customer: m.Customer,
 		Demand:   config.Demand(m.Demand),
-		Home:     m.Home,
+		Shape:    m.Home,
+		Guest:    m.Guest,
 		Gang:     true,
 		Limit:    m.Limit,
 	}, now)
--- a/io/entry/run.go
+++ b/io/entry/run.go
@@ -60,7 +60,8 @@
 		Entry:    entry,
 		Customer: m.Customer,
 		Demand:   config.Demand(m.Demand),
-		Home:     m.Home,
+		Shape:    m.Home,
+		Guest:    m.Guest,
 	}, now)
 	if g.Refusal != worker.Admitted {
 		return nil, a.refuse(w, g.Refusal)
@@ -132,10 +133,10 @@
 		Int("attempt", w.id.Attempt).
 		Str("customer", w.run.Customer).
 		Str("worker", a.cfg.Name).
-		Bool("home", w.run.Home).
+		Str("home", w.run.Home).
 		Int("preempted", len(g.Victims)).
 		Msg("admitted")
-	a.cfg.Metrics.admitted.WithLabelValues(homeLabel(w.run.Home)).Inc()
+	a.cfg.Metrics.admitted.WithLabelValues(homeLabel(w.run.Home != "")).Inc()
 	a.notify(false)
 }
 
--- a/io/operator/caller_test.go
+++ b/io/operator/caller_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -91,3 +93,6 @@
 	})
 	return r
 }
+
+// refusedConnection reports whether no connection was made.
+func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/io/operator/fleet_test.go
+++ b/io/operator/fleet_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -51,6 +53,7 @@
 	errors    float64
 	ownRelays bool // entries are reached through relays that tests can cut
 	notice    time.Duration
+	drain     time.Duration // limit; 20 s if not set
 }
 
 // fleet is a system of real processes for the roles. The platform and the
@@ -113,6 +116,9 @@
 	for i := range cfg.entries {
 		f.addEntry(i)
 	}
+	for i, e := range f.entries {
+		f.settings(e, f.entrySettings(i), f.controls())
+	}
 	for i := range cfg.workers {
 		f.addAgent(i)
 	}
@@ -154,28 +160,33 @@
 
 func (f *fleet) addEntry(i int) {
 	c := f.newChild("entry", fmt.Sprintf("entry-%d", i))
-	advertise := c.control
 	if f.cfg.ownRelays {
-		r := newRelay(f.t, c.control)
-		f.relays = append(f.relays, r)
-		advertise = r.addr
+		f.relays = append(f.relays, newRelay(f.t, c.control))
 	}
 	f.entries = append(f.entries, c)
-	f.settings(c, fmt.Sprintf("name = entry-%d\nzone = zone-%d\nadvertise = %s", i, i, advertise), nil)
 }
 
-func (f *fleet) addAgent(i int) {
-	c := f.newChild("agent", workerName(i))
-	f.agents = append(f.agents, c)
-	var entries []string
-	for k, e := range f.entries {
+func (f *fleet) entrySettings(i int) string {
+	return fmt.Sprintf("name = entry-%d\nzone = zone-%d\nadvertise = %s", i, i, f.controls()[i])
+}
+
+// controls returns the addresses at which the entries are reached.
+func (f *fleet) controls() []string {
+	var addrs []string
+	for i, e := range f.entries {
 		if f.cfg.ownRelays {
-			entries = append(entries, f.relays[k].addr.String())
+			addrs = append(addrs, f.relays[i].addr.String())
 			continue
 		}
-		entries = append(entries, e.control.String())
+		addrs = append(addrs, e.control.String())
 	}
-	f.settings(c, fmt.Sprintf("name = %s\nzone = zone-%d\nrack = rack-%d", workerName(i), i/3, i/3), entries)
+	return addrs
+}
+
+func (f *fleet) addAgent(i int) {
+	c := f.newChild("agent", workerName(i))
+	f.agents = append(f.agents, c)
+	f.settings(c, fmt.Sprintf("name = %s\nzone = zone-%d\nrack = rack-%d", workerName(i), i/3, i/3), f.controls())
 }
 
 func workerName(i int) string { return fmt.Sprintf("worker-%d", i) }
@@ -186,7 +197,7 @@
 	if len(entries) > 0 {
 		fmt.Fprintf(&b, "[peers]\nentries = %s\n", strings.Join(entries, ", "))
 	}
-	fmt.Fprintf(&b, "[store]\naddress = %s\n[security]\nkey = %s\n[drain]\nnotice = %s\nlimit = 20s\n", f.web.addr, testKeyHex, f.cfg.notice)
+	fmt.Fprintf(&b, "[store]\naddress = %s\n[security]\nkey = %s\n[drain]\nnotice = %s\nlimit = %s\n", f.web.addr, testKeyHex, f.cfg.notice, cmp.Or(f.cfg.drain, 20*time.Second))
 	if err := os.WriteFile(c.file, []byte(b.String()), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -471,7 +482,7 @@
 	return b.String()
 }
 
-var testServices = []string{"certificate", "check", "long", "train"}
+var testServices = []string{"certificate", "check", "long", "train", "big"}
 
 func digestOf(s string) string { return hex.EncodeToString(sum256([]byte(s))) }
 
@@ -549,6 +560,48 @@
 	}
 }
 
+// cutter forwards the connections to an upstream and cuts each answer off after
+// cutAfter bytes.
+type cutter struct {
+	addr  netip.AddrPort
+	count atomic.Int64
+}
+
+const cutAfter = 1024
+
+func newCutter(t *testing.T, target netip.AddrPort) *cutter {
+	t.Helper()
+	l, err := net.Listen("tcp", newAddress(t).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	c := &cutter{addr: l.Addr().(*net.TCPAddr).AddrPort()}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go c.serve(in, target)
+		}
+	}()
+	return c
+}
+
+func (c *cutter) serve(in net.Conn, target netip.AddrPort) {
+	defer func() { _ = in.Close() }()
+	out, err := net.Dial("tcp", target.String())
+	if err != nil {
+		return
+	}
+	defer func() { _ = out.Close() }()
+	go func() { _, _ = io.Copy(out, in) }()
+	if n, _ := io.CopyN(in, out, cutAfter); n == cutAfter {
+		c.count.Add(1)
+	}
+}
+
 // runCommand runs a command of the program inside the test process.
 func runCommand(args ...string) (status int, stdout, stderr string) {
 	var out, errs bytes.Buffer
--- a/io/wire/schema.go
+++ b/io/wire/schema.go
@@ -113,14 +113,15 @@
 	Proof []byte `msg:"proof"`
 }
 
-// Usage is what one customer uses of a worker, inside and outside its homes.
-// The Mine parts are of what the receiving entry sent.
+// Usage is what one customer uses of a worker in one way. Shape is that of the
+// home, empty for borrowed resources; Guest is set for work of another shape
+// than the home's. Mine is the part of Used that the receiving entry sent.
 type Usage struct {
-	Customer     string `msg:"customer"`
-	Home         Demand `msg:"home"`
-	Borrowed     Demand `msg:"borrowed"`
-	MineHome     Demand `msg:"mine_home"`
-	MineBorrowed Demand `msg:"mine_borrowed"`
+	Customer string `msg:"customer"`
+	Shape    string `msg:"shape"`
+	Guest    bool   `msg:"guest"`
+	Used     Demand `msg:"used"`
+	Mine     Demand `msg:"mine"`
 }
 
 // Report is the heartbeat of an agent: the state of its worker.
@@ -141,9 +142,10 @@
 	PlanVersion   uint64         `msg:"plan_version"`
 }
 
-// Home is the part of a worker that the plan binds to a customer.
+// Home is the part of a worker that the plan binds to a customer's shape.
 type Home struct {
 	Customer string `msg:"customer"`
+	Shape    string `msg:"shape"`
 	Demand   Demand `msg:"demand"`
 }
 
@@ -155,8 +157,9 @@
 }
 
 // Run asks an agent to admit and run a request on its worker.
-// Timeout is what remains of the caller's deadline. PlanVersion is the newest
-// plan that the entry has seen.
+// Timeout is what remains of the caller's deadline. Home is the shape of the
+// home that the work is to use, empty for borrowed resources; Guest is set if
+// the work has another shape.
 type Run struct {
 	Request     string        `msg:"request"`
 	Attempt     int           `msg:"attempt"`
@@ -165,12 +168,12 @@
 	Key         string        `msg:"key"`
 	Repeatable  bool          `msg:"repeatable"`
 	Demand      Demand        `msg:"demand"`
-	Home        bool          `msg:"home"`
+	Home        string        `msg:"home"`
+	Guest       bool          `msg:"guest"`
 	Timeout     time.Duration `msg:"timeout"`
 	Grace       time.Duration `msg:"grace"`
 	ContentType string        `msg:"content_type"`
 	Checkpoint  string        `msg:"checkpoint"`
-	PlanVersion uint64        `msg:"plan_version"`
 	Body        []byte        `msg:"body,limit=16777216"`
 }
 
@@ -200,7 +203,8 @@
 	Attempt  int           `msg:"attempt"`
 	Customer string        `msg:"customer"`
 	Demand   Demand        `msg:"demand"`
-	Home     bool          `msg:"home"`
+	Home     string        `msg:"home"`
+	Guest    bool          `msg:"guest"`
 	Limit    time.Duration `msg:"limit"`
 	Grace    time.Duration `msg:"grace"`
 }
--- a/io/wire/schema_gen.go
+++ b/io/wire/schema_gen.go
@@ -1116,9 +1116,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hold) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "request"
-	o = append(o, 0x87, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = append(o, 0x88, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Request)
 	// string "attempt"
 	o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
@@ -1137,7 +1137,10 @@
 	o = msgp.AppendInt(o, z.Demand.Accelerators)
 	// string "home"
 	o = append(o, 0xa4, 0x68, 0x6f, 0x6d, 0x65)
-	o = msgp.AppendBool(o, z.Home)
+	o = msgp.AppendString(o, z.Home)
+	// string "guest"
+	o = append(o, 0xa5, 0x67, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendBool(o, z.Guest)
 	// string "limit"
 	o = append(o, 0xa5, 0x6c, 0x69, 0x6d, 0x69, 0x74)
 	o = msgp.AppendDuration(o, z.Limit)
@@ -1227,11 +1230,17 @@
 				}
 			}
 		case "home":
-			z.Home, bts, err = msgp.ReadBoolBytes(bts)
+			z.Home, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Home")
 				return
 			}
+		case "guest":
+			z.Guest, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Guest")
+				return
+			}
 		case "limit":
 			z.Limit, bts, err = msgp.ReadDurationBytes(bts)
 			if err != nil {
@@ -1258,7 +1267,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hold) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Customer) + 7 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize + 5 + msgp.BoolSize + 6 + msgp.DurationSize + 6 + msgp.DurationSize
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Customer) + 7 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Home) + 6 + msgp.BoolSize + 6 + msgp.DurationSize + 6 + msgp.DurationSize
 	return
 }
 
@@ -1382,10 +1391,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Home) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "customer"
-	o = append(o, 0x82, 0xa8, 0x63, 0x75, 0x73, 0x74, 0x6f, 0x6d, 0x65, 0x72)
+	o = append(o, 0x83, 0xa8, 0x63, 0x75, 0x73, 0x74, 0x6f, 0x6d, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Customer)
+	// string "shape"
+	o = append(o, 0xa5, 0x73, 0x68, 0x61, 0x70, 0x65)
+	o = msgp.AppendString(o, z.Shape)
 	// string "demand"
 	o = append(o, 0xa6, 0x64, 0x65, 0x6d, 0x61, 0x6e, 0x64)
 	// map header, size 2
@@ -1426,6 +1438,12 @@
 				err = msgp.WrapError(err, "Customer")
 				return
 			}
+		case "shape":
+			z.Shape, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Shape")
+				return
+			}
 		case "demand":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
@@ -1479,7 +1497,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Home) Msgsize() (s int) {
-	s = 1 + 9 + msgp.StringPrefixSize + len(z.Customer) + 7 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize
+	s = 1 + 9 + msgp.StringPrefixSize + len(z.Customer) + 6 + msgp.StringPrefixSize + len(z.Shape) + 7 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize
 	return
 }
 
@@ -2710,7 +2728,10 @@
 	o = msgp.AppendInt(o, z.Demand.Accelerators)
 	// string "home"
 	o = append(o, 0xa4, 0x68, 0x6f, 0x6d, 0x65)
-	o = msgp.AppendBool(o, z.Home)
+	o = msgp.AppendString(o, z.Home)
+	// string "guest"
+	o = append(o, 0xa5, 0x67, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendBool(o, z.Guest)
 	// string "timeout"
 	o = append(o, 0xa7, 0x74, 0x69, 0x6d, 0x65, 0x6f, 0x75, 0x74)
 	o = msgp.AppendDuration(o, z.Timeout)
@@ -2723,9 +2744,6 @@
 	// string "checkpoint"
 	o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
 	o = msgp.AppendString(o, z.Checkpoint)
-	// string "plan_version"
-	o = append(o, 0xac, 0x70, 0x6c, 0x61, 0x6e, 0x5f, 0x76, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.PlanVersion)
 	// string "body"
 	o = append(o, 0xa4, 0x62, 0x6f, 0x64, 0x79)
 	o = msgp.AppendBytes(o, z.Body)
@@ -2830,11 +2848,17 @@
 				}
 			}
 		case "home":
-			z.Home, bts, err = msgp.ReadBoolBytes(bts)
+			z.Home, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Home")
 				return
 			}
+		case "guest":
+			z.Guest, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Guest")
+				return
+			}
 		case "timeout":
 			z.Timeout, bts, err = msgp.ReadDurationBytes(bts)
 			if err != nil {
@@ -2859,12 +2883,6 @@
 				err = msgp.WrapError(err, "Checkpoint")
 				return
 			}
-		case "plan_version":
-			z.PlanVersion, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "PlanVersion")
-				return
-			}
 		case "body":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadBytesHeader(bts)
@@ -2901,7 +2919,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Run) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Customer) + 8 + msgp.StringPrefixSize + len(z.Service) + 4 + msgp.StringPrefixSize + len(z.Key) + 11 + msgp.BoolSize + 7 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize + 5 + msgp.BoolSize + 8 + msgp.DurationSize + 6 + msgp.DurationSize + 13 + msgp.StringPrefixSize + len(z.ContentType) + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 13 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.IntSize + 9 + msgp.StringPrefixSize + len(z.Customer) + 8 + msgp.StringPrefixSize + len(z.Service) + 4 + msgp.StringPrefixSize + len(z.Key) + 11 + msgp.BoolSize + 7 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Home) + 6 + msgp.BoolSize + 8 + msgp.DurationSize + 6 + msgp.DurationSize + 13 + msgp.StringPrefixSize + len(z.ContentType) + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 5 + msgp.BytesPrefixSize + len(z.Body)
 	return
 }
 
@@ -3083,42 +3101,30 @@
 	// string "customer"
 	o = append(o, 0x85, 0xa8, 0x63, 0x75, 0x73, 0x74, 0x6f, 0x6d, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Customer)
-	// string "home"
-	o = append(o, 0xa4, 0x68, 0x6f, 0x6d, 0x65)
+	// string "shape"
+	o = append(o, 0xa5, 0x73, 0x68, 0x61, 0x70, 0x65)
+	o = msgp.AppendString(o, z.Shape)
+	// string "guest"
+	o = append(o, 0xa5, 0x67, 0x75, 0x65, 0x73, 0x74)
+	o = msgp.AppendBool(o, z.Guest)
+	// string "used"
+	o = append(o, 0xa4, 0x75, 0x73, 0x65, 0x64)
 	// map header, size 2
 	// string "slots"
 	o = append(o, 0x82, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.Home.Slots)
+	o = msgp.AppendInt(o, z.Used.Slots)
 	// string "accelerators"
 	o = append(o, 0xac, 0x61, 0x63, 0x63, 0x65, 0x6c, 0x65, 0x72, 0x61, 0x74, 0x6f, 0x72, 0x73)
-	o = msgp.AppendInt(o, z.Home.Accelerators)
-	// string "borrowed"
-	o = append(o, 0xa8, 0x62, 0x6f, 0x72, 0x72, 0x6f, 0x77, 0x65, 0x64)
+	o = msgp.AppendInt(o, z.Used.Accelerators)
+	// string "mine"
+	o = append(o, 0xa4, 0x6d, 0x69, 0x6e, 0x65)
 	// map header, size 2
 	// string "slots"
 	o = append(o, 0x82, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.Borrowed.Slots)
+	o = msgp.AppendInt(o, z.Mine.Slots)
 	// string "accelerators"
 	o = append(o, 0xac, 0x61, 0x63, 0x63, 0x65, 0x6c, 0x65, 0x72, 0x61, 0x74, 0x6f, 0x72, 0x73)
-	o = msgp.AppendInt(o, z.Borrowed.Accelerators)
-	// string "mine_home"
-	o = append(o, 0xa9, 0x6d, 0x69, 0x6e, 0x65, 0x5f, 0x68, 0x6f, 0x6d, 0x65)
-	// map header, size 2
-	// string "slots"
-	o = append(o, 0x82, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.MineHome.Slots)
-	// string "accelerators"
-	o = append(o, 0xac, 0x61, 0x63, 0x63, 0x65, 0x6c, 0x65, 0x72, 0x61, 0x74, 0x6f, 0x72, 0x73)
-	o = msgp.AppendInt(o, z.MineHome.Accelerators)
-	// string "mine_borrowed"
-	o = append(o, 0xad, 0x6d, 0x69, 0x6e, 0x65, 0x5f, 0x62, 0x6f, 0x72, 0x72, 0x6f, 0x77, 0x65, 0x64)
-	// map header, size 2
-	// string "slots"
-	o = append(o, 0x82, 0xa5, 0x73, 0x6c, 0x6f, 0x74, 0x73)
-	o = msgp.AppendInt(o, z.MineBorrowed.Slots)
-	// string "accelerators"
-	o = append(o, 0xac, 0x61, 0x63, 0x63, 0x65, 0x6c, 0x65, 0x72, 0x61, 0x74, 0x6f, 0x72, 0x73)
-	o = msgp.AppendInt(o, z.MineBorrowed.Accelerators)
+	o = msgp.AppendInt(o, z.Mine.Accelerators)
 	return
 }
 
@@ -3150,11 +3156,23 @@
 				err = msgp.WrapError(err, "Customer")
 				return
 			}
-		case "home":
+		case "shape":
+			z.Shape, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Shape")
+				return
+			}
+		case "guest":
+			z.Guest, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Guest")
+				return
+			}
+		case "used":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Home")
+				err = msgp.WrapError(err, "Used")
 				return
 			}
 			if zb0002 > zb417a25dlimitMaps {
@@ -3165,35 +3183,35 @@
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Home")
+					err = msgp.WrapError(err, "Used")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "slots":
-					z.Home.Slots, bts, err = msgp.ReadIntBytes(bts)
+					z.Used.Slots, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Home", "Slots")
+						err = msgp.WrapError(err, "Used", "Slots")
 						return
 					}
 				case "accelerators":
-					z.Home.Accelerators, bts, err = msgp.ReadIntBytes(bts)
+					z.Used.Accelerators, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Home", "Accelerators")
+						err = msgp.WrapError(err, "Used", "Accelerators")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Home")
+						err = msgp.WrapError(err, "Used")
 						return
 					}
 				}
 			}
-		case "borrowed":
+		case "mine":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Borrowed")
+				err = msgp.WrapError(err, "Mine")
 				return
 			}
 			if zb0003 > zb417a25dlimitMaps {
@@ -3204,104 +3222,26 @@
 				zb0003--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Borrowed")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "slots":
-					z.Borrowed.Slots, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Borrowed", "Slots")
-						return
-					}
-				case "accelerators":
-					z.Borrowed.Accelerators, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Borrowed", "Accelerators")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Borrowed")
-						return
-					}
-				}
-			}
-		case "mine_home":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "MineHome")
-				return
-			}
-			if zb0004 > zb417a25dlimitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "MineHome")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "slots":
-					z.MineHome.Slots, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "MineHome", "Slots")
-						return
-					}
-				case "accelerators":
-					z.MineHome.Accelerators, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "MineHome", "Accelerators")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "MineHome")
-						return
-					}
-				}
-			}
-		case "mine_borrowed":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "MineBorrowed")
-				return
-			}
-			if zb0005 > zb417a25dlimitMaps {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			for zb0005 > 0 {
-				zb0005--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "MineBorrowed")
+					err = msgp.WrapError(err, "Mine")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "slots":
-					z.MineBorrowed.Slots, bts, err = msgp.ReadIntBytes(bts)
+					z.Mine.Slots, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "MineBorrowed", "Slots")
+						err = msgp.WrapError(err, "Mine", "Slots")
 						return
 					}
 				case "accelerators":
-					z.MineBorrowed.Accelerators, bts, err = msgp.ReadIntBytes(bts)
+					z.Mine.Accelerators, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "MineBorrowed", "Accelerators")
+						err = msgp.WrapError(err, "Mine", "Accelerators")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "MineBorrowed")
+						err = msgp.WrapError(err, "Mine")
 						return
 					}
 				}
@@ -3320,6 +3260,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Usage) Msgsize() (s int) {
-	s = 1 + 9 + msgp.StringPrefixSize + len(z.Customer) + 5 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize + 9 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize + 10 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize + 14 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize
+	s = 1 + 9 + msgp.StringPrefixSize + len(z.Customer) + 6 + msgp.StringPrefixSize + len(z.Shape) + 6 + msgp.BoolSize + 5 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize + 5 + 1 + 6 + msgp.IntSize + 13 + msgp.IntSize
 	return
 }
