Replay workloads through the decision core, and let long work yield

Three rules: long borrowed work yields to short work that waits; a job that has run for 8 times its service's usual time waits as long work; workers are kept and cleared for a waiting large job. Ruled out: fair share and best fit alone, which the previous policy had.

--- a/core/schedule/entity.go
+++ b/core/schedule/entity.go
@@ -115,6 +115,12 @@
 	Workers    []*Worker
 
 	state         jobState
+	lane          *lane         // while it waits or runs
+	running       *list.Element // in the lane's running jobs
+	attained      time.Duration // run time of earlier attempts, kept by checkpoints
+	stopping      bool          // it has been told to make room
+	kept          []*Worker     // that are being cleared for it
+	keptUntil     time.Time     // backfill on them must end by then
 	element       *list.Element // in the lane
 	started       time.Time     // of the present attempt
 	notUntil      time.Time     // not placed before this time
@@ -128,9 +134,9 @@
 
 // Decisions that a tick makes.
 const (
-	Place DecisionKind = iota
-	Expire
-	Unplaceable
+	Place  DecisionKind = iota
+	Expire              // the deadline has passed; the job is gone
+	Yield               // the placed job must save its state and make room
 )
 
 // Decision is what the caller must do with a job.
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -9,6 +9,7 @@
 
 // Submit queues a job.
 func (s *Scheduler) Submit(spec Spec, now time.Time) Refusal {
+	s.record(Call{Op: OpSubmit, Now: now, Spec: &spec})
 	service, customer := s.cfg.Service(spec.Service), s.cfg.Customer(spec.Customer)
 	switch {
 	case service == nil || service.Disabled:
@@ -46,19 +47,29 @@
 	}
 }
 
-func (s *Scheduler) lane(j *Job) *lane {
+// stragglerTimes is the multiple of a service's learned run time from which on
+// a job counts as a straggler.
+const stragglerTimes = 8
+
+// enter makes the lane that a job belongs to its lane.
+func (s *Scheduler) enter(j *Job) *lane {
 	key := laneKey{customer: j.Customer, service: j.Service}
+	key.straggler = s.policy.Stragglers && j.attained > stragglerTimes*s.Expected(j.Service)
 	l, ok := s.lanes[key]
 	if !ok {
 		l = &lane{key: key, shape: j.Shape, class: class(j.Priority)}
+		if key.straggler {
+			l.class = class(config.Batch)
+		}
 		s.lanes[key] = l
 	}
+	j.lane = l
 	return l
 }
 
 func (s *Scheduler) enqueue(j *Job, front bool) {
 	j.state = waiting
-	l := s.lane(j)
+	l := s.enter(j)
 	if front {
 		l.pushFront(j)
 	} else {
@@ -71,7 +82,7 @@
 
 // dequeue takes a waiting job out of its lane or out of its delay.
 func (s *Scheduler) dequeue(j *Job) {
-	s.lane(j).remove(j)
+	j.lane.remove(j)
 	s.delayed.remove(j)
 	s.queued--
 	s.customers[j.Customer]--
@@ -80,6 +91,7 @@
 // Cancel removes a waiting job. It reports false if the job is unknown or has
 // been placed.
 func (s *Scheduler) Cancel(id string) bool {
+	s.record(Call{Op: OpCancel, Job: id})
 	j, ok := s.jobs[id]
 	if !ok || j.state != waiting {
 		return false
@@ -94,20 +106,40 @@
 // named did not take it, and replaces what is known of that worker's free
 // resources. An empty worker name tells of no worker in particular.
 func (s *Scheduler) Refused(id, worker string, free *config.Demand, now time.Time) {
+	s.record(Call{Op: OpRefused, Now: now, Job: id, Worker: worker, Free: free})
 	j, ok := s.jobs[id]
 	if !ok || j.state != placed {
 		return
 	}
 	s.unplace(j)
 	if free != nil {
-		s.SetFree(worker, *free)
+		s.setFree(worker, *free)
+	}
+	s.enqueue(j, true)
+	s.deadlines.add(j)
+}
+
+// Preempted puts a placed job back at the head of its queue, whose work was
+// stopped. The time that it has run counts as attained.
+func (s *Scheduler) Preempted(id string, now time.Time) {
+	s.record(Call{Op: OpPreempted, Now: now, Job: id})
+	j, ok := s.jobs[id]
+	if !ok || j.state != placed {
+		return
 	}
+	j.attained += now.Sub(j.started)
+	s.unplace(j)
 	s.enqueue(j, true)
 	s.deadlines.add(j)
 }
 
 // SetFree replaces what is known of a worker's free resources.
 func (s *Scheduler) SetFree(worker string, free config.Demand) {
+	s.record(Call{Op: OpSetFree, Worker: worker, Free: &free})
+	s.setFree(worker, free)
+}
+
+func (s *Scheduler) setFree(worker string, free config.Demand) {
 	if w, ok := s.workers[worker]; ok {
 		w.others = w.Capacity.Sub(w.mine).Sub(free)
 	}
@@ -123,6 +155,7 @@
 
 // Exclude keeps a job from being placed on a worker again.
 func (s *Scheduler) Exclude(id, worker string) {
+	s.record(Call{Op: OpExclude, Job: id, Worker: worker})
 	if j, ok := s.jobs[id]; ok && worker != "" {
 		if j.excluded == nil {
 			j.excluded = make(map[string]bool)
@@ -150,12 +183,14 @@
 // Retry puts a placed job back in its queue, to be placed no sooner than at
 // the given time.
 func (s *Scheduler) Retry(id string, at time.Time) {
+	s.record(Call{Op: OpRetry, Job: id, At: at})
 	j, ok := s.jobs[id]
 	if !ok || j.state != placed {
 		return
 	}
 	s.unplace(j)
 	j.state = waiting
+	s.enter(j)
 	j.notUntil = at
 	s.queued++
 	s.customers[j.Customer]++
@@ -163,22 +198,18 @@
 	s.deadlines.add(j)
 }
 
-// Started notes that a placed job has begun to run.
-func (s *Scheduler) Started(id string, now time.Time) {
-	if j, ok := s.jobs[id]; ok {
-		j.started = now
-	}
-}
-
-// Ended removes a placed job. A run time above zero is learned from.
-func (s *Scheduler) Ended(id string, ran time.Duration) {
+// Ended removes a placed job. The run time of one that has ended well is
+// learned from.
+func (s *Scheduler) Ended(id string, well bool, now time.Time) {
+	s.record(Call{Op: OpEnded, Now: now, Job: id, Well: well})
 	j, ok := s.jobs[id]
 	if !ok || j.state != placed {
 		return
 	}
+	ran := j.attained + now.Sub(j.started)
 	s.unplace(j)
 	delete(s.jobs, id)
-	if ran > 0 {
+	if well {
 		s.runTimes(j.Service).observe(ran)
 	}
 }
@@ -194,6 +225,7 @@
 
 // Succeeded clears a worker's failure record.
 func (s *Scheduler) Succeeded(worker string) {
+	s.record(Call{Op: OpSucceeded, Worker: worker})
 	if w, ok := s.workers[worker]; ok {
 		if w.health.ejected {
 			s.ejected--
@@ -205,6 +237,7 @@
 // Failed counts a failure of a worker and reports whether it was ejected. No
 // more than the configured share of the workers is ejected at once.
 func (s *Scheduler) Failed(worker string, now time.Time) bool {
+	s.record(Call{Op: OpFailed, Now: now, Worker: worker})
 	w, ok := s.workers[worker]
 	if !ok {
 		return false
@@ -228,6 +261,7 @@
 
 // occupy books a job's demand on the workers that it is placed on.
 func (s *Scheduler) occupy(j *Job) {
+	j.running = j.lane.running.PushBack(j)
 	use, home := j.homeUse()
 	for _, w := range j.Workers {
 		w.mine = w.mine.Add(j.Shape.Demand)
@@ -241,6 +275,12 @@
 }
 
 func (s *Scheduler) unplace(j *Job) {
+	j.lane.running.Remove(j.running)
+	j.running = nil
+	if j.stopping {
+		j.stopping = false
+		s.freeing = s.freeing.Sub(s.demand(j))
+	}
 	use, home := j.homeUse()
 	for _, w := range j.Workers {
 		w.mine = w.mine.Sub(j.Shape.Demand)
--- a/core/schedule/lane.go
+++ b/core/schedule/lane.go
@@ -8,10 +8,13 @@
 	"bramleythread/core/config"
 )
 
-// laneKey names the queue of one customer's requests of one service.
+// laneKey names the queue of one customer's requests of one service. Jobs that
+// have run for much longer than their service does wait in a queue of their
+// own, as stragglers.
 type laneKey struct {
-	customer string
-	service  string
+	customer  string
+	service   string
+	straggler bool
 }
 
 // lane is a queue of jobs of one customer and service, oldest first.
@@ -20,7 +23,8 @@
 	shape   config.Shape
 	class   int // 0 for urgent work
 	jobs    list.List
-	blocked bool // nothing more can be placed in this tick
+	running list.List // placed jobs, in the order of their placement
+	blocked bool      // nothing more can be placed in this tick
 }
 
 func (l *lane) push(j *Job) { j.element = l.jobs.PushBack(j) }
--- a/core/schedule/policy.go
+++ b/core/schedule/policy.go
@@ -5,14 +5,16 @@
 // Policy selects the rules that the systems follow. Every rule can be turned
 // off, so that a replay shows what it does.
 type Policy struct {
-	ShortFirst  bool          // shorter services first, by learned run time
-	FairShare   bool          // customers that use less of their weight first
-	BestFit     bool          // the tightest worker and rack, not the first
-	Reserve     bool          // keep room for a waiting gang, with backfill
-	Hints       bool          // declared run times count before any was seen
-	Ageing      time.Duration // wait that halves a job's cost in the order
-	KeepSlots   bool          // long work leaves room for short work
-	RefuseEarly bool          // refuse what cannot be answered in time
+	Strict     bool          // one queue by arrival, whose head blocks the rest
+	ShortFirst bool          // shorter services first, by learned run time
+	FairShare  bool          // customers that use less of their weight first
+	BestFit    bool          // the tightest worker and rack, not the first
+	Reserve    bool          // keep room for a waiting large job, with backfill
+	Hints      bool          // declared run times count before any was seen
+	Ageing     time.Duration // wait that halves a job's cost in the order
+	Stragglers bool          // what runs for much longer than its service is long
+	MakeRoom   bool          // long work yields to short work that waits
+	Defragment bool          // long work is moved for a large job that waits
 }
 
 // DefaultPolicy is the policy of a running entry.
@@ -24,8 +26,23 @@
 		Reserve:    true,
 		Hints:      true,
 		Ageing:     30 * time.Second,
+		Stragglers: true,
+		MakeRoom:   true,
+		Defragment: true,
 	}
 }
 
 // Baseline is first come, first served with first fit.
-func Baseline() Policy { return Policy{} }
+func Baseline() Policy { return Policy{Strict: true} }
+
+// Previous is the policy of version 0.1 before work was made to yield.
+func Previous() Policy {
+	return Policy{
+		ShortFirst: true,
+		FairShare:  true,
+		BestFit:    true,
+		Reserve:    true,
+		Hints:      true,
+		Ageing:     30 * time.Second,
+	}
+}
--- a/core/schedule/reserve.go
+++ b/core/schedule/reserve.go
@@ -7,7 +7,7 @@
 )
 
 // reserveAfter is the wait at which a large job gets a reservation.
-const reserveAfter = time.Second
+const reserveAfter = 500 * time.Millisecond
 
 // reservation keeps a worker for a waiting job. Other work may use the worker
 // only if it is expected to have ended by the given time.
@@ -22,16 +22,59 @@
 	}
 }
 
-// reserve keeps workers for a job that could not be placed: those of the group
-// that is expected to be free the soonest.
-func (s *Scheduler) reserve(j *Job, now time.Time) {
-	if !s.policy.Reserve || now.Sub(j.Enqueued) < reserveAfter || s.overQuota(j) {
-		return
+// reserve keeps workers for a job that could not be placed: those that are
+// cheapest to clear, or else those that are expected to be free the soonest.
+func (s *Scheduler) reserve(j *Job, now time.Time, decisions []Decision) []Decision {
+	if !s.policy.Reserve || s.overQuota(j) || j.Shape.Workers == 1 {
+		return decisions
+	}
+	if now.Sub(j.Enqueued) < reserveAfter {
+		s.wakeAt(j.Enqueued.Add(reserveAfter), now)
+		return decisions
 	}
 	groups := [][]*Worker{s.order}
 	if j.Shape.SameRack {
 		groups = s.racks
 	}
+	if !s.policy.Defragment {
+		s.reserveSoonest(j, groups, now)
+		return decisions
+	}
+	c, ok := s.keepClearing(j, now)
+	if !ok {
+		if c, ok = s.cheapest(j, groups, now); !ok {
+			j.kept = nil
+			s.reserveSoonest(j, groups, now)
+			return decisions
+		}
+		j.kept, j.keptUntil = c.workers, now.Add(c.cost)
+	}
+	for _, w := range c.workers {
+		w.reservation = reservation{job: j, end: j.keptUntil}
+	}
+	return s.defragment(c, decisions)
+}
+
+// keepClearing goes on with the workers that are being cleared for a job; ok
+// is false if there are none, or if they cannot be cleared any more.
+func (s *Scheduler) keepClearing(j *Job, now time.Time) (clearing, bool) {
+	if j.kept == nil {
+		return clearing{}, false
+	}
+	return s.clear(j, j.kept, now)
+}
+
+// cheapest returns the cheapest way to clear workers of one of the groups.
+func (s *Scheduler) cheapest(j *Job, groups [][]*Worker, now time.Time) (best clearing, ok bool) {
+	for _, g := range groups {
+		if c, found := s.clear(j, g, now); found && (!ok || c.cost < best.cost) {
+			best, ok = c, true
+		}
+	}
+	return best, ok
+}
+
+func (s *Scheduler) reserveSoonest(j *Job, groups [][]*Worker, now time.Time) {
 	var best []*Worker
 	var bestEnd time.Time
 	for _, g := range groups {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -16,6 +16,9 @@
 
 // Scheduler is the state of one entry. It is not safe for concurrent use.
 type Scheduler struct {
+	// Record receives every call that changes the state; it may be nil.
+	Record func(c Call)
+
 	policy    Policy
 	cfg       *config.Config
 	plan      *plan.Plan
@@ -32,7 +35,9 @@
 	customers map[string]int // waiting jobs by customer
 	homes     map[string][]plan.Home
 	total     config.Demand
-	ejected   int // workers
+	ejected   int           // workers
+	freeing   config.Demand // by jobs that have been told to make room
+	timer     time.Time     // next tick that a rule has asked for
 	dirty     bool
 }
 
@@ -63,6 +68,7 @@
 
 // SetConfig puts a configuration in force for new and waiting jobs.
 func (s *Scheduler) SetConfig(cfg *config.Config) {
+	s.record(Call{Op: OpConfig, Config: cfg})
 	s.cfg = cfg
 	for key, l := range s.lanes {
 		if v := cfg.Service(key.service); v != nil {
@@ -74,6 +80,7 @@
 
 // SetPlan puts a plan in force.
 func (s *Scheduler) SetPlan(p *plan.Plan) {
+	s.record(Call{Op: OpPlan, Plan: p})
 	s.plan = p
 	s.homes = make(map[string][]plan.Home)
 	for _, h := range p.Homes {
@@ -96,6 +103,7 @@
 // Report updates a worker's row. Reports of an older incarnation, and those
 // that a newer report has overtaken, change nothing.
 func (s *Scheduler) Report(r WorkerReport, now time.Time) {
+	s.record(Call{Op: OpReport, Now: now, Report: &r})
 	w, ok := s.workers[r.Name]
 	if ok && (r.Incarnation < w.incarnation || r.Incarnation == w.incarnation && r.Sequence <= w.sequence) {
 		return
@@ -195,6 +203,7 @@
 // Gone takes a worker out of service, as its closed connection or its leave
 // tells.
 func (s *Scheduler) Gone(name string) {
+	s.record(Call{Op: OpGone, Worker: name})
 	if w, ok := s.workers[name]; ok {
 		w.Ready = false
 	}
@@ -203,6 +212,7 @@
 // Forget removes workers that have been silent since before the given time and
 // run nothing that this entry sent. It returns their names.
 func (s *Scheduler) Forget(before time.Time) []string {
+	s.record(Call{Op: OpForget, At: before})
 	var names []string
 	for name, w := range s.workers {
 		if w.reported.Before(before) && w.mine.Zero() {
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -1,6 +1,9 @@
 package schedule
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"bramleythread/core/config"
@@ -9,8 +12,21 @@
 // Tick runs the systems and returns their decisions: first what has expired,
 // then what is placed. The caller carries out every decision.
 func (s *Scheduler) Tick(now time.Time) []Decision {
+	decisions := s.run(now)
+	// A tick without decisions changes nothing that a later one does not.
+	if len(decisions) > 0 {
+		s.record(Call{Op: OpTick, Now: now, Decisions: decisions})
+	}
+	return decisions
+}
+
+func (s *Scheduler) run(now time.Time) []Decision {
 	decisions := s.expire(now)
 	s.undelay(now)
+	if !s.timer.IsZero() && !now.Before(s.timer) {
+		s.timer = time.Time{}
+		s.dirty = true
+	}
 	if !s.dirty {
 		return decisions
 	}
@@ -23,11 +39,35 @@
 func (s *Scheduler) NextTimer() (at time.Time, ok bool) {
 	at, ok = s.deadlines.next()
 	if d, has := s.delayed.next(); has && (!ok || d.Before(at)) {
-		return d, true
+		at, ok = d, true
+	}
+	if !s.timer.IsZero() && (!ok || s.timer.Before(at)) {
+		at, ok = s.timer, true
 	}
 	return at, ok
 }
 
+// wakeAt asks for a tick at a later time, though nothing may happen before.
+func (s *Scheduler) wakeAt(at, now time.Time) {
+	if at.After(now) && (s.timer.IsZero() || at.Before(s.timer)) {
+		s.timer = at
+	}
+}
+
+// sortedLanes returns the lanes in an order that does not depend on chance.
+func (s *Scheduler) sortedLanes() []*lane {
+	lanes := slices.Collect(maps.Values(s.lanes))
+	slices.SortFunc(lanes, func(a, b *lane) int {
+		return cmp.Or(
+			cmp.Compare(a.class, b.class),
+			cmp.Compare(a.key.customer, b.key.customer),
+			cmp.Compare(a.key.service, b.key.service),
+			compareBool(a.key.straggler, b.key.straggler),
+		)
+	})
+	return lanes
+}
+
 // expire ends the waiting jobs whose deadline has passed.
 func (s *Scheduler) expire(now time.Time) []Decision {
 	var decisions []Decision
@@ -42,7 +82,7 @@
 // undelay returns the delayed jobs whose time has come to their lanes.
 func (s *Scheduler) undelay(now time.Time) {
 	for j := s.delayed.due(now); j != nil; j = s.delayed.due(now) {
-		s.lane(j).pushFront(j)
+		j.lane.pushFront(j)
 		s.dirty = true
 	}
 }
@@ -59,13 +99,16 @@
 		c, ok := s.find(j, now)
 		if !ok {
 			l.blocked = true
-			s.reserve(j, now)
+			decisions = s.reserve(j, now, decisions)
+			if s.policy.Strict {
+				break
+			}
 			continue
 		}
 		decisions = append(decisions, s.place(j, c, now))
 		l.blocked = l.jobs.Len() == 0
 	}
-	return decisions
+	return s.makeRoom(now, decisions)
 }
 
 func (s *Scheduler) place(j *Job, c candidate, now time.Time) Decision {
@@ -77,11 +120,7 @@
 	j.Workers = c.workers
 	j.Home, j.Guest = c.home, c.guest
 	s.occupy(j)
-	names := make([]string, len(c.workers))
-	for i, w := range c.workers {
-		names[i] = w.Name
-	}
-	return Decision{Kind: Place, Job: j.ID, Attempt: j.Attempt, Workers: names, Home: c.home, Guest: c.guest, Reason: c.reason}
+	return Decision{Kind: Place, Job: j.ID, Attempt: j.Attempt, Workers: workerNames(c.workers), Home: c.home, Guest: c.guest, Reason: c.reason}
 }
 
 // mostPressing returns the lane whose head is placed next, or nil.
@@ -93,7 +132,7 @@
 			continue
 		}
 		cost := s.cost(l, now)
-		if best == nil || before(l, cost, best, bestCost) {
+		if best == nil || s.before(l, cost, best, bestCost) {
 			best, bestCost = l, cost
 		}
 	}
@@ -101,8 +140,8 @@
 }
 
 // before orders lanes by class, cost and, to be total, by name.
-func before(a *lane, costA float64, b *lane, costB float64) bool {
-	if a.class != b.class {
+func (s *Scheduler) before(a *lane, costA float64, b *lane, costB float64) bool {
+	if a.class != b.class && !s.policy.Strict {
 		return a.class < b.class
 	}
 	if costA != costB {
@@ -111,7 +150,10 @@
 	if a.key.customer != b.key.customer {
 		return a.key.customer < b.key.customer
 	}
-	return a.key.service < b.key.service
+	if a.key.service != b.key.service {
+		return a.key.service < b.key.service
+	}
+	return b.key.straggler
 }
 
 // cost ranks a lane within its class; the least is placed first. Without any
@@ -123,7 +165,7 @@
 	}
 	cost := 1.0
 	if s.policy.ShortFirst {
-		cost *= s.Expected(l.key.service).Seconds()
+		cost *= max(s.Expected(l.key.service), head.attained).Seconds()
 	}
 	if s.policy.FairShare {
 		cost *= 1 + s.share(l.key.customer)
--- /dev/null
+++ b/core/trace/decide.go
@@ -0,0 +1,46 @@
+package trace
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"bramleythread/core/schedule"
+)
+
+// DecisionError tells of the first tick whose decisions differ from the
+// recorded ones. Got and Want are JSON.
+type DecisionError struct {
+	Call int // counted from 1
+	Got  string
+	Want string
+}
+
+// Error describes the difference.
+func (e *DecisionError) Error() string {
+	return fmt.Sprintf("trace: call %d decides %s, recorded %s", e.Call, e.Got, e.Want)
+}
+
+// Redecide makes the calls of a decision trace on a fresh scheduler and
+// compares what each tick decides, byte for byte. It returns the number of
+// calls. Errors: *DecisionError.
+func (t *Trace) Redecide(policy schedule.Policy) (calls int, err error) {
+	s := schedule.New(policy)
+	for _, e := range t.Events {
+		if e.Kind != Call {
+			continue
+		}
+		calls++
+		got, err := json.Marshal(s.Apply(*e.Call))
+		if err != nil {
+			return calls, err
+		}
+		want, err := json.Marshal(e.Call.Decisions)
+		if err != nil {
+			return calls, err
+		}
+		if string(got) != string(want) {
+			return calls, &DecisionError{Call: calls, Got: string(got), Want: string(want)}
+		}
+	}
+	return calls, nil
+}
--- /dev/null
+++ b/core/trace/format.go
@@ -0,0 +1,157 @@
+// Package trace replays recorded traces through the decision core with a
+// virtual clock, and measures what comes out.
+//
+// A trace is a file of JSON lines. The first line is the Header, every other
+// line an Event. A workload trace holds what arrives and what fails, together
+// with the outcomes that are stated for it; a decision trace holds the calls
+// that a running entry made of its scheduler, and the decisions it got.
+package trace
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"bramleythread/core/config"
+	"bramleythread/core/schedule"
+)
+
+// Version is the version of the trace format.
+const Version = 1
+
+// Kind is the type of a trace.
+type Kind string
+
+// Kinds of traces.
+const (
+	Workload  Kind = "workload"
+	Decisions Kind = "decisions"
+)
+
+// Class is the kind of work that a service does, for the measures.
+type Class string
+
+// Classes of services.
+const (
+	Short  Class = "short"
+	Long   Class = "long"
+	Gang   Class = "gang"
+	Urgent Class = "urgent" // short, guaranteed and urgent
+)
+
+// Header is the first line of a trace.
+type Header struct {
+	Version    int              `json:"version"`
+	Kind       Kind             `json:"kind"`
+	Seed       uint64           `json:"seed"`
+	Deployment string           `json:"deployment"`
+	OneWay     time.Duration    `json:"one_way_ns"` // between entry and agents
+	Classes    map[string]Class `json:"classes,omitempty"`
+	Config     string           `json:"config"` // in INI
+}
+
+// EventKind is the type of an event.
+type EventKind string
+
+// Events of a workload.
+const (
+	WorkerUp      EventKind = "worker_up"
+	WorkerDown    EventKind = "worker_down"
+	WorkerFailing EventKind = "worker_failing" // fails all that it starts
+	WorkerHealed  EventKind = "worker_healed"
+	Submit        EventKind = "submit"
+	Cancel        EventKind = "cancel"
+	Outcome       EventKind = "outcome" // a stated outcome of the whole trace
+	Call          EventKind = "call"    // of a decision trace
+)
+
+// Event is one line after the header. At is the time since the start.
+type Event struct {
+	At       time.Duration  `json:"at_ns"`
+	Kind     EventKind      `json:"event"`
+	Worker   string         `json:"worker,omitempty"`
+	Zone     string         `json:"zone,omitempty"`
+	Rack     string         `json:"rack,omitempty"`
+	Capacity *config.Demand `json:"capacity,omitempty"`
+	Services []string       `json:"services,omitempty"`
+	Job      string         `json:"job,omitempty"`
+	Customer string         `json:"customer,omitempty"`
+	Service  string         `json:"service,omitempty"`
+	Run      time.Duration  `json:"run_ns,omitempty"` // true run time
+	Timeout  time.Duration  `json:"timeout_ns,omitempty"`
+	Fails    bool           `json:"fails,omitempty"` // on every worker
+	Measure  string         `json:"measure,omitempty"`
+	Min      *float64       `json:"min,omitempty"`
+	Max      *float64       `json:"max,omitempty"`
+	Call     *schedule.Call `json:"call,omitempty"`
+}
+
+// Trace is a trace in memory.
+type Trace struct {
+	Header Header
+	Events []Event
+}
+
+// FormatError tells of a line that cannot be read.
+type FormatError struct {
+	Line   int
+	Reason string
+}
+
+// Error describes the line.
+func (e *FormatError) Error() string { return fmt.Sprintf("trace: line %d: %s", e.Line, e.Reason) }
+
+const maxLine = 4 << 20 // bytes
+
+// Read reads a trace.
+func Read(r io.Reader) (*Trace, error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), maxLine)
+	t := &Trace{}
+	for line := 1; s.Scan(); line++ {
+		if err := t.add(line, s.Bytes()); err != nil {
+			return nil, &FormatError{Line: line, Reason: err.Error()}
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, err
+	}
+	if t.Header.Version != Version {
+		return nil, &FormatError{Line: 1, Reason: fmt.Sprintf("version %d, want %d", t.Header.Version, Version)}
+	}
+	return t, nil
+}
+
+func (t *Trace) add(line int, data []byte) error {
+	if line == 1 {
+		return json.Unmarshal(data, &t.Header)
+	}
+	var e Event
+	if err := json.Unmarshal(data, &e); err != nil {
+		return err
+	}
+	t.Events = append(t.Events, e)
+	return nil
+}
+
+// Write writes a trace.
+func (t *Trace) Write(w io.Writer) error {
+	b := bufio.NewWriter(w)
+	enc := json.NewEncoder(b)
+	if err := enc.Encode(t.Header); err != nil {
+		return err
+	}
+	for i := range t.Events {
+		if err := enc.Encode(&t.Events[i]); err != nil {
+			return err
+		}
+	}
+	return b.Flush()
+}
+
+// ParseConfig parses the configuration in the header.
+func (h *Header) ParseConfig() (*config.Config, error) {
+	return config.Parse(config.Source{Name: "trace", Text: []byte(h.Config)})
+}
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -34,11 +34,38 @@
 	if r == nil {
 		return
 	}
-	if d.Kind == schedule.Expire {
+	switch d.Kind {
+	case schedule.Expire:
 		e.finish(r, &wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonExpired}, now)
-		return
+	case schedule.Yield:
+		e.yield(r, d, now)
+	default:
+		e.place(r, d, now)
 	}
-	r.workers, r.attempt, r.placedAt = d.Workers, d.Attempt, now
+}
+
+// yield asks a request's worker, or its gang's lead, to save its state and
+// make room. The caller holds mu.
+func (e *Entry) yield(r *request, d schedule.Decision, now time.Time) {
+	r.note(now, "told to make room")
+	e.cfg.Log.Info().
+		Str("request", r.id).
+		Int("attempt", d.Attempt).
+		Str("customer", r.customer).
+		Str("worker", d.Workers[0]).
+		Str("reason", d.Reason).
+		Msg("yielding")
+	e.run(func() {
+		ctx, cancel := context.WithTimeout(e.ctx, holdTimeout)
+		defer cancel()
+		// Without an answer the work goes on, which does no harm.
+		_, _ = e.pool.Call(ctx, d.Workers[0], &wire.Stop{Request: r.id, Attempt: d.Attempt, Reason: wire.ReasonPreempted})
+	})
+}
+
+// place sends a placed request to its workers. The caller holds mu.
+func (e *Entry) place(r *request, d schedule.Decision, now time.Time) {
+	r.workers, r.attempt = d.Workers, d.Attempt
 	r.incarnation, _ = e.pool.Incarnation(d.Workers[0])
 	e.logPlacement(r, d, now)
 	m := e.runMessage(r, d, now)
@@ -116,16 +143,16 @@
 	case wire.HeldBy:
 		e.followHolder(r, result)
 	default:
-		e.end(r, result, 0)
+		e.end(r, result, false)
 	}
 }
 
-// end ends a request; a run time above zero is learned from.
-func (e *Entry) end(r *request, result *wire.Result, ran time.Duration) {
+// end ends a request; the run time of one that has ended well is learned from.
+func (e *Entry) end(r *request, result *wire.Result, well bool) {
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.sched.Ended(r.id, ran)
+	e.sched.Ended(r.id, well, now)
 	e.finish(r, result, now)
 	e.tick(now)
 }
@@ -143,9 +170,8 @@
 	for _, w := range r.workers {
 		e.sched.Succeeded(w)
 	}
-	ran := time.Since(r.placedAt)
 	e.mu.Unlock()
-	e.end(r, result, ran)
+	e.end(r, result, true)
 }
 
 // settleFailed deals with a whole answer that tells of a failure. Repeatable
@@ -153,7 +179,7 @@
 func (e *Entry) settleFailed(r *request, worker string, result *wire.Result) {
 	e.blame(r, worker, "status")
 	if !r.service.Repeatable || !e.hasOther(r, worker) || !e.mayRetry(r) {
-		e.end(r, result, 0)
+		e.end(r, result, false)
 		return
 	}
 	e.again(r, worker, "upstream failed", time.Now())
@@ -218,7 +244,7 @@
 	if !r.cancelled {
 		return false
 	}
-	e.sched.Ended(r.id, 0)
+	e.sched.Ended(r.id, false, now)
 	e.finish(r, &wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled}, now)
 	e.tick(now)
 	return true
@@ -277,12 +303,12 @@
 		r.maybeRan = true
 		e.mu.Unlock()
 		if !e.mayRetry(r) {
-			e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonAttempts}, 0)
+			e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonAttempts}, false)
 			return
 		}
 	}
 	if result.Reason == wire.ReasonExpired {
-		e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonExpired}, 0)
+		e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonExpired}, false)
 		return
 	}
 	e.mu.Lock()
@@ -291,7 +317,7 @@
 	r.maybeRan = r.maybeRan || result.Started
 	r.note(now, "preempted on %s: %s", worker, result.Reason)
 	e.cfg.Metrics.preempted.Inc()
-	e.sched.Refused(r.id, worker, nil, now)
+	e.sched.Preempted(r.id, now)
 	e.tick(now)
 	e.kick()
 }
@@ -363,9 +389,9 @@
 	}
 	if !r.service.Repeatable {
 		if result := e.savedAnswer(r); result != nil {
-			e.end(r, result, 0)
+			e.end(r, result, false)
 			return
 		}
 	}
-	e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: cause}, 0)
+	e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: cause}, false)
 }
--- a/io/caller/holder.go
+++ b/io/caller/holder.go
@@ -23,21 +23,21 @@
 			e.again(r, "", "holder gave up", time.Now().Add(jitter(storePause)))
 			return
 		case result != nil && result.Reason != wire.ReasonUnknownTask:
-			e.end(r, result, 0)
+			e.end(r, result, false)
 			return
 		}
 		if saved := e.savedAnswer(r); saved != nil {
-			e.end(r, saved, 0)
+			e.end(r, saved, false)
 			return
 		}
 		if result != nil {
 			// The holder has lost the work, or never had it.
-			e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonAgentLost}, 0)
+			e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonAgentLost}, false)
 			return
 		}
 		time.Sleep(jitter(storePause))
 	}
-	e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonClaimed}, 0)
+	e.end(r, &wire.Result{Outcome: wire.Unknown, Reason: wire.ReasonClaimed}, false)
 }
 
 // askHolder asks the agent that holds a claim; nil if it is not reached.
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -41,7 +41,6 @@
 	workers     []string // of the present attempt
 	attempt     int
 	incarnation uint64 // of the first worker's agent
-	placedAt    time.Time
 	result      *wire.Result
 	ended       time.Time
 	trail       []step
--- a/io/entry/member.go
+++ b/io/entry/member.go
@@ -177,12 +177,24 @@
 		g.breakUp(m.Reason)
 		return &wire.Done{OK: true}
 	}
-	if w != nil {
+	switch {
+	case w != nil && w.member:
 		a.stopMember(w, m.Reason)
+	case w != nil:
+		a.yield(w)
 	}
 	return &wire.Done{OK: true}
 }
 
+// yield preempts a single task that its entry wants to make room.
+func (a *Agent) yield(w *work) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.table.Stop(w.id) {
+		a.preempt(w)
+	}
+}
+
 // stopMember stops one member at once, or with a checkpoint if it is
 // preempted.
 func (a *Agent) stopMember(w *work, reason wire.Reason) {
--- /dev/null
+++ b/io/operator/cmd_replay.go
@@ -0,0 +1,80 @@
+package operator
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"bramleythread/core/schedule"
+	"bramleythread/core/trace"
+)
+
+var cmdReplay = &Command{
+	Name:        "replay",
+	Description: "Replays a trace, compares it with its stated outcomes and prints the measures",
+	Args:        "[-only] TRACE",
+	Action: func(env Env, args []string) error {
+		fs := cmdFlags("replay", env)
+		only := fs.Bool("only", false, "leave out the baselines")
+		if err := parse(env, fs, args, 1); err != nil {
+			return err
+		}
+		f, err := os.Open(fs.Arg(0))
+		if err != nil {
+			return eris.Wrap(err, "trace")
+		}
+		defer func() { _ = f.Close() }()
+		t, err := trace.Read(f)
+		if err != nil {
+			return err
+		}
+		if t.Header.Kind == trace.Decisions {
+			return replayDecisions(env, t)
+		}
+		return replayWorkload(env, t, *only)
+	},
+}
+
+// replayDecisions makes the recorded calls and compares the decisions.
+func replayDecisions(env Env, t *trace.Trace) error {
+	calls, err := t.Redecide(schedule.DefaultPolicy())
+	if err != nil {
+		_, _ = fmt.Fprintln(env.Stderr, err)
+		return &QuietError{}
+	}
+	_, err = fmt.Fprintf(env.Stdout, "%d calls, the same decisions\n", calls)
+	return err
+}
+
+// replayWorkload replays a workload under the policy and its baselines.
+func replayWorkload(env Env, t *trace.Trace, only bool) error {
+	policies := []struct {
+		name   string
+		policy schedule.Policy
+	}{
+		{"policy", schedule.DefaultPolicy()},
+		{"previous", schedule.Previous()},
+		{"fcfs", schedule.Baseline()},
+	}
+	if only {
+		policies = policies[:1]
+	}
+	var results []*trace.Result
+	for _, p := range policies {
+		r, err := trace.Replay(t, p.name, p.policy)
+		if err != nil {
+			return err
+		}
+		results = append(results, r)
+	}
+	trace.Print(env.Stdout, results)
+	differences := t.Compare(results[0])
+	for _, d := range differences {
+		_, _ = fmt.Fprintf(env.Stderr, "difference: %s\n", d)
+	}
+	if len(differences) > 0 {
+		return &QuietError{}
+	}
+	return nil
+}
--- a/io/operator/command.go
+++ b/io/operator/command.go
@@ -52,6 +52,7 @@
 		cmdStatus,
 		cmdExplain,
 		cmdDrain,
+		cmdReplay,
 		cmdVersion,
 		cmdHelp,
 	}
