Keep room for bursts and for gangs, and record an entry's decisions

Change: long single jobs leave slots free for the bursts seen lately; workers that are being cleared for a gang stay reserved between ticks, home stragglers move too, and a rack that is not cleared in time is left for another one; small homes are planned into the racks with the least left. An entry can record the calls of its scheduler to the object store, and replay -object replays them.

--- a/core/config/settings.go
+++ b/core/config/settings.go
@@ -34,6 +34,7 @@
 	Key       []byte // of the control connections
 	Drain     DrainSettings
 	Log       LogSettings
+	Trace     TraceSettings
 	Upstream  UpstreamSettings
 	Operator  OperatorSettings
 }
@@ -49,6 +50,11 @@
 	Level string
 }
 
+// TraceSettings tell what an entry records.
+type TraceSettings struct {
+	Calls int // of the scheduler, from the start; 0 for none
+}
+
 // UpstreamSettings set up an upstream stand-in.
 type UpstreamSettings struct {
 	Agent        netip.AddrPort // the agent's HTTP address
@@ -180,7 +186,8 @@
 			"notice": durationField(&s.Drain.Notice, 0, time.Hour),
 			"limit":  durationField(&s.Drain.Limit, 0, 24*time.Hour),
 		},
-		"log": {"level": levelField(&s.Log.Level)},
+		"trace": {"calls": countField(&s.Trace.Calls, 0, maxQueue)},
+		"log":   {"level": levelField(&s.Log.Level)},
 		"upstream": {
 			"agent":             addressField(&s.Upstream.Agent),
 			"slots":             countField(&s.Upstream.Slots, 1, maxCount),
--- a/core/plan/assign.go
+++ b/core/plan/assign.go
@@ -129,17 +129,11 @@
 }
 
 func (a *assignment) place(w want) {
-	groups := [][]*space{a.all}
-	if w.shape.SameRack {
-		groups = a.racks
-	}
-	var best []*space
-	bestLeft := 0
-	for _, g := range groups {
-		picked, left := pick(g, w.shape)
-		if picked != nil && (best == nil || left < bestLeft) {
-			best, bestLeft = picked, left
-		}
+	// Small homes go into the racks that have the least left, so that whole
+	// racks stay free for large shapes.
+	best := pickBest(a.racks, w.shape)
+	if best == nil && !w.shape.SameRack {
+		best, _ = pick(a.all, w.shape)
 	}
 	if best == nil {
 		a.plan.Missing = append(a.plan.Missing, Missing{Customer: w.customer, Shape: w.shape.Name, Instance: w.instance})
@@ -153,6 +147,19 @@
 	a.bind(w, names)
 }
 
+// pickBest picks within the group that has the least left.
+func pickBest(groups [][]*space, shape config.Shape) []*space {
+	var best []*space
+	bestLeft := 0
+	for _, g := range groups {
+		picked, left := pick(g, shape)
+		if picked != nil && (best == nil || left < bestLeft) {
+			best, bestLeft = picked, left
+		}
+	}
+	return best
+}
+
 // pick returns the workers of a group that fit the shape most tightly, and the
 // accelerators and slots that the group would have left; nil if none fit.
 func pick(group []*space, shape config.Shape) (picked []*space, left int) {
--- a/core/schedule/defragment.go
+++ b/core/schedule/defragment.go
@@ -32,7 +32,7 @@
 	}
 	var options []option
 	for _, w := range group {
-		if w.reservation.job != nil || !s.eligible(w, j, now) || !j.Shape.Demand.Fits(w.Capacity) {
+		if w.Rack == j.avoid || w.reservation.job != nil && w.reservation.job != j || !s.eligible(w, j, now) || !j.Shape.Demand.Fits(w.Capacity) {
 			continue
 		}
 		moves, cost, ok := s.clearWorker(w, j, now)
@@ -59,12 +59,12 @@
 
 // clearWorker returns what must move off a worker for a job to fit, and the
 // expected cost: the rest of the work that ends by itself, and a fixed cost
-// for each job that moves. ok is false if home work is in the way, or large
-// work that arrived before the job.
+// for each job that moves. ok is false if other large work is in the way, or
+// work that cannot move. Home work moves too: it has its home back at any time.
 func (s *Scheduler) clearWorker(w *Worker, j *Job, now time.Time) (moves []*Job, cost time.Duration, ok bool) {
 	missing := j.Shape.Demand.Sub(w.free())
 	if missing.Slots <= 0 && missing.Accelerators <= 0 {
-		return nil, 0, true
+		return nil, cost, true
 	}
 	jobs := make([]*Job, 0, len(w.jobs))
 	for x := range w.jobs {
@@ -74,14 +74,11 @@
 		return cmp.Or(cmp.Compare(s.rest(a, now), s.rest(b, now)), cmp.Compare(a.ID, b.ID))
 	})
 	for _, x := range jobs {
-		if x.Home != "" && s.rest(x, now) > endsSoon {
-			continue
-		}
 		switch {
 		case x.stopping:
 		case s.rest(x, now) <= endsSoon:
-			cost = max(cost, s.rest(x, now))
-		case x.Shape.Workers > 1 || !s.mayYield(x, now):
+			cost += s.rest(x, now) / 2 // several end side by side
+		case x.Shape.Workers > 1 || !s.mayMove(x, now):
 			continue
 		default:
 			moves = append(moves, x)
@@ -97,6 +94,7 @@
 
 // Bounds of the clearing of workers.
 const (
-	endsSoon = 5 * time.Second // work with less than this left is waited for
-	moveCost = 2 * time.Second // of moving one job
+	endsSoon   = 5 * time.Second // work with less than this left is waited for
+	moveCost   = 2 * time.Second // of moving one job
+	clearLimit = 5 * time.Second // beyond the expected cost, before another try
 )
--- a/core/schedule/entity.go
+++ b/core/schedule/entity.go
@@ -121,6 +121,7 @@
 	stopping      bool          // it has been told to make room
 	kept          []*Worker     // that are being cleared for it
 	keptUntil     time.Time     // backfill on them must end by then
+	avoid         string        // rack that could not be cleared in time
 	element       *list.Element // in the lane
 	started       time.Time     // of the present attempt
 	notUntil      time.Time     // not placed before this time
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"bramleythread/core/config"
@@ -31,6 +32,7 @@
 		delayIndex:    noIndex,
 	}
 	s.jobs[spec.ID] = j
+	s.noteArrival(j, now)
 	s.enqueue(j, false)
 	s.deadlines.add(j)
 	return Accepted
@@ -47,6 +49,18 @@
 	}
 }
 
+// noteArrival counts a job towards the bursts of its service.
+func (s *Scheduler) noteArrival(j *Job, now time.Time) {
+	b, ok := s.bursts[j.Service]
+	if !ok {
+		b = &burst{}
+		s.bursts[j.Service] = b
+		s.services = append(s.services, j.Service)
+		slices.Sort(s.services)
+	}
+	b.arrived(s.demand(j).Slots, now)
+}
+
 // stragglerTimes is the multiple of a service's learned run time from which on
 // a job counts as a straggler.
 const stragglerTimes = 8
@@ -58,9 +72,6 @@
 	l, ok := s.lanes[key]
 	if !ok {
 		l = &lane{key: key, shape: j.Shape, class: class(j.Priority)}
-		if key.straggler {
-			l.class = class(config.Batch)
-		}
 		s.lanes[key] = l
 	}
 	j.lane = l
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -34,10 +34,12 @@
 		return c, true
 	}
 	if s.overQuota(j) {
-		return candidate{}, false
+		return s.findHome(j, now, false)
 	}
-	if c, ok := s.findFree(j, now); ok {
-		return c, true
+	if s.leavesHeadroom(j, now) {
+		if c, ok := s.findFree(j, now); ok {
+			return c, true
+		}
 	}
 	return s.findHome(j, now, false)
 }
@@ -60,7 +62,8 @@
 func (w *Worker) takes(j *Job) bool { return w.services[j.Service] && !j.excluded[w.Name] }
 
 // findHome looks for a home of the job's customer that has room. onlyFree
-// leaves out homes in which work would have to be preempted.
+// leaves out homes in which work would have to be preempted, or which are being
+// cleared for a large job.
 func (s *Scheduler) findHome(j *Job, now time.Time, onlyFree bool) (candidate, bool) {
 	for _, h := range s.homesFor(j) {
 		workers := s.homeWorkers(j, h, now, onlyFree)
@@ -115,7 +118,7 @@
 		if !ok || !s.eligible(w, j, now) || !j.Shape.Demand.Fits(w.homeFree(k, guest)) {
 			continue
 		}
-		if onlyFree && !j.Shape.Demand.Fits(w.free()) {
+		if onlyFree && (!j.Shape.Demand.Fits(w.free()) || !s.mayUse(w, j, now)) {
 			continue
 		}
 		picked = append(picked, w)
--- a/core/schedule/policy.go
+++ b/core/schedule/policy.go
@@ -15,6 +15,7 @@
 	Stragglers bool          // what runs for much longer than its service is long
 	MakeRoom   bool          // long work yields to short work that waits
 	Defragment bool          // long work is moved for a large job that waits
+	Headroom   bool          // long work leaves slots free for bursts of short work
 }
 
 // DefaultPolicy is the policy of a running entry.
@@ -29,6 +30,7 @@
 		Stragglers: true,
 		MakeRoom:   true,
 		Defragment: true,
+		Headroom:   true,
 	}
 }
 
--- a/core/schedule/reserve.go
+++ b/core/schedule/reserve.go
@@ -16,10 +16,21 @@
 	end time.Time
 }
 
-func (s *Scheduler) clearReservations() {
+// renewReservations drops the reservations but for those of the workers that
+// are being cleared for the heads of the lanes.
+func (s *Scheduler) renewReservations() {
 	for _, w := range s.order {
 		w.reservation = reservation{}
 	}
+	for _, l := range s.sortedLanes() {
+		j := l.head()
+		if j == nil {
+			continue
+		}
+		for _, w := range j.kept {
+			w.reservation = reservation{job: j, end: j.keptUntil}
+		}
+	}
 }
 
 // reserve keeps workers for a job that could not be placed: those that are
@@ -61,7 +72,19 @@
 	if j.kept == nil {
 		return clearing{}, false
 	}
-	return s.clear(j, j.kept, now)
+	c, ok := s.clear(j, j.kept, now)
+	if now.After(j.keptUntil.Add(clearLimit)) {
+		// Other work keeps coming; the next try is elsewhere.
+		j.avoid = j.kept[0].Rack
+		ok = false
+	}
+	if !ok {
+		for _, w := range j.kept {
+			w.reservation = reservation{}
+		}
+		j.kept = nil
+	}
+	return c, ok
 }
 
 // cheapest returns the cheapest way to clear workers of one of the groups.
@@ -145,11 +168,17 @@
 	return j.started.Add(max(s.Expected(j.Service), 2*attained))
 }
 
-// mayUse reports whether the job may use a worker that may be reserved.
+// mayUse reports whether the job may use a worker that may be reserved: if it
+// is expected to end in time, or if it is short and has waited.
 func (s *Scheduler) mayUse(w *Worker, j *Job, now time.Time) bool {
 	r := w.reservation
 	if r.job == nil || r.job == j {
 		return true
 	}
-	return !now.Add(s.Expected(j.Service)).After(r.end)
+	expected := s.Expected(j.Service)
+	if !now.Add(expected).After(r.end) {
+		return true
+	}
+	// Much shorter work that finds no room elsewhere does not wait.
+	return yieldRatio*expected <= s.Expected(r.job.Service) && now.Sub(j.Enqueued) >= yieldWait
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -30,6 +30,8 @@
 	deadlines timeline
 	delayed   timeline
 	learned   map[string]*runTimes // by service
+	bursts    map[string]*burst    // by service
+	services  []string             // that have a burst, sorted
 	used      map[string]config.Demand
 	queued    int
 	customers map[string]int // waiting jobs by customer
@@ -51,6 +53,7 @@
 		jobs:      make(map[string]*Job),
 		lanes:     make(map[laneKey]*lane),
 		learned:   make(map[string]*runTimes),
+		bursts:    make(map[string]*burst),
 		used:      make(map[string]config.Demand),
 		customers: make(map[string]int),
 		homes:     make(map[string][]plan.Home),
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -12,26 +12,27 @@
 // Tick runs the systems and returns their decisions: first what has expired,
 // then what is placed. The caller carries out every decision.
 func (s *Scheduler) Tick(now time.Time) []Decision {
-	decisions := s.run(now)
-	// A tick without decisions changes nothing that a later one does not.
-	if len(decisions) > 0 {
+	decisions, ran := s.run(now)
+	if ran || len(decisions) > 0 {
 		s.record(Call{Op: OpTick, Now: now, Decisions: decisions})
 	}
 	return decisions
 }
 
-func (s *Scheduler) run(now time.Time) []Decision {
-	decisions := s.expire(now)
+// run reports ran if it has looked at the queue, which it does after a change
+// only.
+func (s *Scheduler) run(now time.Time) (decisions []Decision, ran bool) {
+	decisions = s.expire(now)
 	s.undelay(now)
 	if !s.timer.IsZero() && !now.Before(s.timer) {
 		s.timer = time.Time{}
 		s.dirty = true
 	}
 	if !s.dirty {
-		return decisions
+		return decisions, false
 	}
 	s.dirty = false
-	return s.placeAll(now, decisions)
+	return s.placeAll(now, decisions), true
 }
 
 // NextTimer returns the time at which Tick has something to do without a new
@@ -93,7 +94,7 @@
 	for _, l := range s.lanes {
 		l.blocked = l.jobs.Len() == 0
 	}
-	s.clearReservations()
+	s.renewReservations()
 	for l := s.mostPressing(now); l != nil; l = s.mostPressing(now) {
 		j := l.head()
 		c, ok := s.find(j, now)
--- a/core/schedule/yield.go
+++ b/core/schedule/yield.go
@@ -92,7 +92,12 @@
 // mayYield reports whether a placed job can be told to make room: borrowed,
 // repeatable work that has run for the quantum.
 func (s *Scheduler) mayYield(j *Job, now time.Time) bool {
-	return j.Home == "" && j.Repeatable && !j.stopping && now.Sub(j.started) >= yieldQuantum
+	return j.Home == "" && s.mayMove(j, now)
+}
+
+// mayMove reports whether a placed job can go on elsewhere.
+func (s *Scheduler) mayMove(j *Job, now time.Time) bool {
+	return j.Repeatable && !j.stopping && now.Sub(j.started) >= yieldQuantum
 }
 
 func workerNames(workers []*Worker) []string {
--- a/core/trace/generate.go
+++ b/core/trace/generate.go
@@ -59,7 +59,6 @@
 	customers  []string
 	weights    []float64 // of the customers' requests
 	guarantees []string
-	shapes     string
 	loads      []load
 	outcomes   map[string]stated
 }
@@ -69,8 +68,6 @@
 	min, max float64 // NaN for none
 }
 
-func atLeast(v float64) stated { return stated{min: v, max: math.NaN()} }
-
 func atMost(v float64) stated { return stated{min: math.NaN(), max: v} }
 
 // always holds for every trace.
--- /dev/null
+++ b/core/trace/replay_test.go
@@ -0,0 +1,85 @@
+package trace
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bramleythread/core/schedule"
+)
+
+// testLength keeps the generated traces of the tests small.
+const testLength = 4 * time.Minute
+
+func TestReplayMeetsTheStatedOutcomes(t *testing.T) {
+	for name, deployment := range map[string]string{"puhkekapsel": "puhkekapsel", "chaophraya": "chaophraya"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(3) {
+				tr, err := Generate(deployment, seed+1, testLength)
+				is.NoErr(err)
+				r, err := Replay(tr, "policy", schedule.DefaultPolicy())
+				is.NoErr(err)
+				for _, d := range tr.Compare(r) {
+					t.Errorf("seed %d: %s", seed+1, d)
+				}
+			}
+		})
+	}
+}
+
+func TestReplayIsRepeatable(t *testing.T) {
+	is := is.New(t)
+	tr, err := Generate("puhkekapsel", 7, testLength)
+	is.NoErr(err)
+	var file bytes.Buffer
+	is.NoErr(tr.Write(&file))
+	read, err := Read(&file)
+	is.NoErr(err)
+	first, err := Replay(tr, "policy", schedule.DefaultPolicy())
+	is.NoErr(err)
+	second, err := Replay(read, "policy", schedule.DefaultPolicy())
+	is.NoErr(err)
+	is.Equal(first.Measures, second.Measures)
+}
+
+// TestShortWorkDoesNotWaitForLongWork compares the policy with its baseline on
+// the goal of the head-of-line blocking.
+func TestShortWorkDoesNotWaitForLongWork(t *testing.T) {
+	is := is.New(t)
+	tr, err := Generate("puhkekapsel", 1, DefaultLength)
+	is.NoErr(err)
+	p, err := Replay(tr, "policy", schedule.DefaultPolicy())
+	is.NoErr(err)
+	b, err := Replay(tr, "fcfs", schedule.Baseline())
+	is.NoErr(err)
+	is.True(20*p.Measures["short_hol_p99"] <= b.Measures["short_hol_p99"])
+}
+
+func TestDecisionsReplayByteForByte(t *testing.T) {
+	is := is.New(t)
+	tr, err := Generate("chaophraya", 2, testLength)
+	is.NoErr(err)
+	w, err := newWorld(tr, schedule.DefaultPolicy())
+	is.NoErr(err)
+	recorded := &Trace{Header: Header{Version: Version, Kind: Decisions}}
+	w.sched = schedule.New(schedule.DefaultPolicy())
+	w.sched.Record = func(c schedule.Call) {
+		recorded.Events = append(recorded.Events, Event{Kind: Call, Call: &c})
+	}
+	w.sched.SetConfig(w.cfg)
+	w.run(epoch.Add(testLength))
+	var file bytes.Buffer
+	is.NoErr(recorded.Write(&file))
+	read, err := Read(&file)
+	is.NoErr(err)
+	calls, err := read.Redecide(schedule.DefaultPolicy())
+	is.NoErr(err)
+	is.True(calls > 1000)
+	other := schedule.DefaultPolicy()
+	other.BestFit = false
+	_, err = read.Redecide(other)
+	is.True(err != nil) // another policy decides otherwise
+}
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -149,7 +149,7 @@
 
 // end ends a request; the run time of one that has ended well is learned from.
 func (e *Entry) end(r *request, result *wire.Result, well bool) {
-	now := time.Now()
+	now := clock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sched.Ended(r.id, well, now)
@@ -182,7 +182,7 @@
 		e.end(r, result, false)
 		return
 	}
-	e.again(r, worker, "upstream failed", time.Now())
+	e.again(r, worker, "upstream failed", clock())
 }
 
 // hasOther reports whether a request can be placed off the worker that it
@@ -191,12 +191,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sched.Exclude(r.id, worker)
-	return e.sched.HasOther(r.id, time.Now())
+	return e.sched.HasOther(r.id, clock())
 }
 
 // blame counts a failure of a worker.
 func (e *Entry) blame(r *request, worker, cause string) {
-	now := time.Now()
+	now := clock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r.attempts++
@@ -212,7 +212,7 @@
 	e.mu.Lock()
 	attempts := r.attempts
 	e.mu.Unlock()
-	if attempts >= e.limits().Attempts || !time.Now().Before(r.deadline) {
+	if attempts >= e.limits().Attempts || !clock().Before(r.deadline) {
 		return false
 	}
 	if !e.budget.spend() {
@@ -225,7 +225,7 @@
 
 // again queues a request for another attempt, off the worker named.
 func (e *Entry) again(r *request, worker, cause string, at time.Time) {
-	now := time.Now()
+	now := clock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.endCancelled(r, now) {
@@ -252,7 +252,7 @@
 
 // settleRefused places a request again that an agent did not take.
 func (e *Entry) settleRefused(r *request, worker string, result *wire.Result) {
-	now := time.Now()
+	now := clock()
 	e.cfg.Metrics.refusals.WithLabelValues(string(result.Reason)).Inc()
 	if result.Reason == wire.ReasonUpstreamError {
 		e.blame(r, worker, "task not started")
@@ -296,7 +296,7 @@
 
 // settlePreempted queues a request again whose work was stopped.
 func (e *Entry) settlePreempted(r *request, worker string, result *wire.Result) {
-	now := time.Now()
+	now := clock()
 	if result.Reason == wire.ReasonUpstreamError {
 		e.blame(r, worker, "answer lost")
 		e.mu.Lock()
@@ -338,15 +338,15 @@
 func (e *Entry) recover(r *request, worker string, cause wire.Reason) {
 	e.mu.Lock()
 	attempt, incarnation := r.attempt, r.incarnation
-	r.note(time.Now(), "reply of %s lost: %s", worker, cause)
+	r.note(clock(), "reply of %s lost: %s", worker, cause)
 	// Work is not worth a longer wait than its own run time.
 	wait := min(max(e.sched.Expected(r.service.Name), reconnectFloor), reconnectLimit)
 	e.mu.Unlock()
-	end := time.Now().Add(wait)
+	end := clock().Add(wait)
 	if !r.service.Repeatable {
 		end = r.deadline
 	}
-	for time.Now().Before(end) && e.ctx.Err() == nil {
+	for clock().Before(end) && e.ctx.Err() == nil {
 		if now, ok := e.pool.Incarnation(worker); ok && now != incarnation {
 			break
 		}
@@ -384,7 +384,7 @@
 	r.attempts++
 	e.mu.Unlock()
 	if r.service.Repeatable && e.mayRetry(r) {
-		e.again(r, worker, "agent lost", time.Now())
+		e.again(r, worker, "agent lost", clock())
 		return
 	}
 	if !r.service.Repeatable {
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -31,6 +31,7 @@
 	Log         zerolog.Logger
 	Metrics     *Metrics
 	Policy      schedule.Policy
+	TraceCalls  int // calls of the scheduler that are recorded, 0 for none
 }
 
 // Entry is the state of one entry process.
@@ -48,6 +49,8 @@
 	wake   chan struct{}
 	budget budget
 
+	recorder *recorder // nil if nothing is recorded
+
 	mu       sync.Mutex
 	sched    *schedule.Scheduler
 	requests map[string]*request
@@ -104,6 +107,7 @@
 		Peers:    e.entries,
 	})
 	e.peers = e.pool.NewPeers()
+	e.startRecording(cfg.TraceCalls)
 	return e
 }
 
@@ -140,6 +144,7 @@
 	e.runMu.Lock()
 	e.cancel()
 	e.runMu.Unlock()
+	e.saveTrace()
 	e.peers.Close()
 	e.claims.Close()
 	e.wg.Wait()
@@ -171,8 +176,8 @@
 	e.draining, e.stopping = true, true
 	e.mu.Unlock()
 	e.cfg.Log.Info().Dur("limit", limit).Msg("drain_started")
-	end := time.Now().Add(limit)
-	for time.Now().Before(end) && e.inFlight() > 0 {
+	end := clock().Add(limit)
+	for clock().Before(end) && e.inFlight() > 0 {
 		time.Sleep(drainPoll)
 	}
 }
@@ -188,7 +193,7 @@
 // reported takes in an agent's report. The reply tells the agent of a plan
 // that it has not seen.
 func (e *Entry) reported(r *wire.Report) wire.Message {
-	now := time.Now()
+	now := clock()
 	e.keeper.Named(r.ConfigVersion)
 	e.mu.Lock()
 	e.sched.Report(workerReport(r), now)
@@ -246,7 +251,7 @@
 		case <-e.wake:
 		case <-t.C:
 		}
-		now := time.Now()
+		now := clock()
 		e.mu.Lock()
 		e.tick(now)
 		e.expireFinished(now)
--- a/io/caller/follow.go
+++ b/io/caller/follow.go
@@ -62,7 +62,7 @@
 		e.storeFailed(err)
 		return
 	}
-	e.planned.read = time.Now()
+	e.planned.read = clock()
 	e.planned.revision, e.planned.known = revision, true
 	newConfig, err := e.keeper.OfferConfig(row)
 	if err != nil && row.Version != e.planned.unreadable {
@@ -89,7 +89,7 @@
 	}
 	cfg, version := e.keeper.Config()
 	p := e.keeper.Plan()
-	now := time.Now()
+	now := clock()
 	e.mu.Lock()
 	if newConfig {
 		e.sched.SetConfig(cfg)
@@ -160,7 +160,7 @@
 func (e *Entry) writeRegistry() {
 	ctx, cancel := context.WithTimeout(e.ctx, storeTimeout)
 	defer cancel()
-	value, err := json.Marshal(registryRow{Name: e.cfg.Name, Zone: e.cfg.Zone, Time: time.Now()})
+	value, err := json.Marshal(registryRow{Name: e.cfg.Name, Zone: e.cfg.Zone, Time: clock()})
 	if err != nil {
 		return
 	}
@@ -177,7 +177,7 @@
 	if err != nil {
 		return
 	}
-	if !e.noteEntries(rows, time.Now()) {
+	if !e.noteEntries(rows, clock()) {
 		return
 	}
 	entries := e.entries()
@@ -251,7 +251,7 @@
 }
 
 func (e *Entry) noteSeen(seen []wire.Seen) {
-	now := time.Now()
+	now := clock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, s := range seen {
@@ -266,7 +266,7 @@
 func (e *Entry) answerAsk(m *wire.AskConfig) wire.Message {
 	reply := &wire.Config{}
 	reply.Config, reply.Plan, reply.ConfigVersion, reply.PlanVersion = e.keeper.Newer(m.ConfigVersion, m.PlanVersion)
-	now := time.Now()
+	now := clock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, w := range e.sched.Workers() {
--- a/io/caller/holder.go
+++ b/io/caller/holder.go
@@ -14,13 +14,13 @@
 // attempt holds.
 func (e *Entry) followHolder(r *request, held *wire.Result) {
 	e.mu.Lock()
-	r.note(time.Now(), "key is held by %s", held.HolderToken)
+	r.note(clock(), "key is held by %s", held.HolderToken)
 	e.mu.Unlock()
-	for time.Now().Before(r.deadline) && e.ctx.Err() == nil {
+	for clock().Before(r.deadline) && e.ctx.Err() == nil {
 		result := e.askHolder(r, held)
 		switch {
 		case result != nil && result.Outcome == wire.Refused:
-			e.again(r, "", "holder gave up", time.Now().Add(jitter(storePause)))
+			e.again(r, "", "holder gave up", clock().Add(jitter(storePause)))
 			return
 		case result != nil && result.Reason != wire.ReasonUnknownTask:
 			e.end(r, result, false)
--- a/io/caller/http.go
+++ b/io/caller/http.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return nil, err
 	}
-	arrived := time.Now()
+	arrived := clock()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, cfg.Limits.RequestBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -153,7 +153,7 @@
 // cancelRequest takes a waiting request out of the queue, or asks the agent
 // of a placed one not to start it.
 func (e *Entry) cancelRequest(r *request) {
-	now := time.Now()
+	now := clock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r.result != nil || r.cancelled {
--- a/io/caller/operators.go
+++ b/io/caller/operators.go
@@ -71,7 +71,7 @@
 
 // Status returns the operators' view.
 func (e *Entry) Status() Status {
-	now := time.Now()
+	now := clock()
 	ready := e.Ready()
 	row, p := e.keeper.Row(), e.keeper.Plan()
 	s := Status{
--- a/io/caller/planner.go
+++ b/io/caller/planner.go
@@ -28,7 +28,7 @@
 // replan stores a new plan if the one in force no longer fits the
 // configuration or the fleet. Of the entries that try at once, one wins.
 func (e *Entry) replan() {
-	now := time.Now()
+	now := clock()
 	cfg, version := e.keeper.Config()
 	if cfg == nil || !e.planned.known || e.keeper.Behind() {
 		return
--- a/io/operator/cmd_replay.go
+++ b/io/operator/cmd_replay.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"os"
 
@@ -8,24 +10,26 @@
 
 	"bramleythread/core/schedule"
 	"bramleythread/core/trace"
+	"bramleythread/io/platform"
 )
 
 var cmdReplay = &Command{
 	Name:        "replay",
 	Description: "Replays a trace, compares it with its stated outcomes and prints the measures",
-	Args:        "[-only] TRACE",
+	Args:        "[-only] [-settings FILE -object] TRACE",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("replay", env)
 		only := fs.Bool("only", false, "leave out the baselines")
+		object := fs.Bool("object", false, "TRACE is a key of the object store, as an entry logs it")
+		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
 		if err := parse(env, fs, args, 1); err != nil {
 			return err
 		}
-		f, err := os.Open(fs.Arg(0))
+		data, err := readTrace(env, fs.Arg(0), *settings, *object)
 		if err != nil {
 			return eris.Wrap(err, "trace")
 		}
-		defer func() { _ = f.Close() }()
-		t, err := trace.Read(f)
+		t, err := trace.Read(bytes.NewReader(data))
 		if err != nil {
 			return err
 		}
@@ -36,6 +40,22 @@
 	},
 }
 
+// readTrace reads a trace from a file, or from the object store.
+func readTrace(env Env, name, settings string, object bool) ([]byte, error) {
+	if !object {
+		return os.ReadFile(name)
+	}
+	s, err := operatorSettings(env, settings)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	c := platform.NewClient(s.Store)
+	defer c.Close()
+	return c.Store().GetObject(ctx, name)
+}
+
 // replayDecisions makes the recorded calls and compares the decisions.
 func replayDecisions(env Env, t *trace.Trace) error {
 	calls, err := t.Redecide(schedule.DefaultPolicy())
--- a/io/operator/fleet_test.go
+++ b/io/operator/fleet_test.go
@@ -54,6 +54,7 @@
 	ownRelays bool // entries are reached through relays that tests can cut
 	notice    time.Duration
 	drain     time.Duration // limit; 20 s if not set
+	calls     int           // of the entries' schedulers that are recorded
 }
 
 // fleet is a system of real processes for the roles. The platform and the
@@ -194,6 +195,9 @@
 func (f *fleet) settings(c *child, process string, entries []string) {
 	var b strings.Builder
 	fmt.Fprintf(&b, "[process]\n%s\nhttp = %s\ncontrol = %s\n", process, c.http, c.control)
+	if c.role == "entry" {
+		fmt.Fprintf(&b, "[trace]\ncalls = %d\n", f.cfg.calls)
+	}
 	if len(entries) > 0 {
 		fmt.Fprintf(&b, "[peers]\nentries = %s\n", strings.Join(entries, ", "))
 	}
@@ -613,3 +617,12 @@
 	})
 	return status, out.String(), errs.String()
 }
+
+func readFile(t *testing.T, name string) string {
+	t.Helper()
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
--- a/io/operator/process_entry.go
+++ b/io/operator/process_entry.go
@@ -44,6 +44,7 @@
 		Log:         log,
 		Metrics:     caller.NewMetrics(registry),
 		Policy:      schedule.DefaultPolicy(),
+		TraceCalls:  s.Trace.Calls,
 	})
 	mux := newMux(registry, e.Ready)
 	e.Register(mux)
--- a/tools/seeds/main.go
+++ b/tools/seeds/main.go
@@ -51,6 +51,7 @@
 		{"crest answered / bound", own("crest_of_bound"), 0.98, false},
 		{"gang wait mean / fcfs", over("gang_wait_mean"), 1.0 / 3, true},
 		{"gang wait p99 / fcfs", over("gang_wait_p99"), 1.0 / 3, true},
+		{"gang wait mean, s", own("gang_wait_mean"), 0, true},
 		{"fragmentation", own("fragmentation"), 0.9, false},
 		{"urgent start max, s", own("urgent_start_max"), 5.7, true},
 		{"starved customers", own("starved_customers"), 0, true},
@@ -83,6 +84,7 @@
 		"stragglers": func() { p.Stragglers = false },
 		"makeroom":   func() { p.MakeRoom = false },
 		"defragment": func() { p.Defragment = false },
+		"headroom":   func() { p.Headroom = false },
 	}
 	off, ok := rules[rule]
 	if !ok {
