Index the workers, and bound retries, memory and waits under floods

Cause: a placement looked at every worker; a request that had failed on all workers but an ejected one waited for that one's probe (600 requests at 70% failures took 397 s). Change: workers are indexed by their free resources, so that a placement reads a few bitmaps; lanes and sums are kept up to date instead of made anew; a failed request waits for no ejected worker; the default retry share is 15%, so that with the burst of ten the load stays within 1.2 times the callers'.

--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -29,7 +29,7 @@
 		CustomerQueue:  4_000,
 		MaxTimeout:     24 * time.Hour,
 		Attempts:       4,
-		RetryPercent:   20,
+		RetryPercent:   15,
 		EjectPercent:   34,
 		AnswerLifetime: 10 * time.Minute,
 	}
--- a/core/schedule/defragment.go
+++ b/core/schedule/defragment.go
@@ -94,7 +94,8 @@
 
 // Bounds of the clearing of workers.
 const (
-	endsSoon   = 5 * time.Second // work with less than this left is waited for
-	moveCost   = 2 * time.Second // of moving one job
-	clearLimit = 5 * time.Second // beyond the expected cost, before another try
+	endsSoon   = 5 * time.Second       // work with less than this left is waited for
+	moveCost   = 2 * time.Second       // of moving one job
+	clearPause = 20 * time.Millisecond // before workers are looked for again
+	clearLimit = 5 * time.Second       // beyond the expected cost, before another try
 )
--- a/core/schedule/entity.go
+++ b/core/schedule/entity.go
@@ -48,6 +48,11 @@
 	Ready    bool
 	Capacity config.Demand
 
+	position int     // in the worker order
+	rack     int     // index of its rack
+	bucket   *bucket // in the index; nil if it is not in service
+	counted  int     // free slots that are in the scheduler's sum
+
 	incarnation uint64
 	sequence    uint64
 	reported    time.Time
@@ -121,6 +126,7 @@
 	stopping      bool          // it has been told to make room
 	kept          []*Worker     // that are being cleared for it
 	keptUntil     time.Time     // backfill on them must end by then
+	nextClear     time.Time     // before it no workers are looked for to clear
 	avoid         string        // rack that could not be cleared in time
 	element       *list.Element // in the lane
 	started       time.Time     // of the present attempt
--- a/core/schedule/headroom.go
+++ b/core/schedule/headroom.go
@@ -9,7 +9,7 @@
 const (
 	burstWindow   = 500 * time.Millisecond // about what it takes until long work has yielded
 	burstHalfLife = 2 * time.Minute        // of the largest burst that was seen
-	headroomShare = 0.12                   // of all slots, at the most
+	headroomShare = 0.16                   // of all slots, at the most
 )
 
 // burst remembers the largest demand of one service that arrived within one
@@ -59,11 +59,5 @@
 	if room == 0 {
 		return true
 	}
-	free := -s.demand(j).Slots
-	for _, w := range s.order {
-		if w.inService(now) {
-			free += max(w.free().Slots, 0)
-		}
-	}
-	return free >= room
+	return s.freeSlots-s.demand(j).Slots >= room
 }
--- a/core/schedule/job.go
+++ b/core/schedule/job.go
@@ -73,6 +73,8 @@
 	if !ok {
 		l = &lane{key: key, shape: j.Shape, class: class(j.Priority)}
 		s.lanes[key] = l
+		s.laneList = append(s.laneList, l)
+		s.sortLanes()
 	}
 	j.lane = l
 	return l
@@ -153,6 +155,7 @@
 func (s *Scheduler) setFree(worker string, free config.Demand) {
 	if w, ok := s.workers[worker]; ok {
 		w.others = w.Capacity.Sub(w.mine).Sub(free)
+		s.touch(w)
 	}
 }
 
@@ -175,8 +178,8 @@
 	}
 }
 
-// HasOther reports whether there are enough workers that the job has not been
-// excluded from.
+// HasOther reports whether there are enough workers that are not ejected and
+// that the job has not been excluded from.
 func (s *Scheduler) HasOther(id string, now time.Time) bool {
 	j, ok := s.jobs[id]
 	if !ok {
@@ -184,7 +187,7 @@
 	}
 	n := 0
 	for _, w := range s.order {
-		if w.inService(now) && w.takes(j) {
+		if s.eligible(w, j, now) {
 			n++
 		}
 	}
@@ -277,6 +280,7 @@
 	for _, w := range j.Workers {
 		w.mine = w.mine.Add(j.Shape.Demand)
 		w.jobs[j] = struct{}{}
+		s.touch(w)
 		w.health.placed()
 		if home {
 			w.inHome[use] = w.inHome[use].Add(j.Shape.Demand)
@@ -296,6 +300,7 @@
 	for _, w := range j.Workers {
 		w.mine = w.mine.Sub(j.Shape.Demand)
 		delete(w.jobs, j)
+		s.touch(w)
 		w.health.idle()
 		if home {
 			w.inHome[use] = w.inHome[use].Sub(j.Shape.Demand)
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -135,64 +135,87 @@
 	return w.takes(j) && s.Usable(w, now)
 }
 
+// maxRacks bounds the racks that are compared for one job.
+const maxRacks = 64
+
 // findFree looks for free resources outside the customer's homes.
 func (s *Scheduler) findFree(j *Job, now time.Time) (candidate, bool) {
-	if !j.Shape.SameRack {
-		return s.bestOf(j, now, [][]*Worker{s.order})
+	var workers []*Worker
+	switch {
+	case j.Shape.SameRack && j.Shape.Workers > 1:
+		workers = s.bestRack(j, now)
+	case s.policy.BestFit:
+		workers = s.tightest(j, now)
+	default:
+		workers = s.first(j, now)
 	}
-	return s.bestOf(j, now, s.racks)
+	if len(workers) < j.Shape.Workers {
+		return candidate{}, false
+	}
+	slices.SortFunc(workers, compareWorkers)
+	return candidate{workers: workers, reason: reasonBorrowed}, true
 }
 
-// bestOf returns the best workers within one of the groups.
-func (s *Scheduler) bestOf(j *Job, now time.Time, groups [][]*Worker) (candidate, bool) {
-	var best []*Worker
-	bestLeft := 0
-	for _, g := range groups {
-		picked, left := s.pick(j, now, g)
-		if picked == nil {
-			continue
-		}
-		if best == nil || left < bestLeft {
-			best, bestLeft = picked, left
-		}
-		if !s.policy.BestFit {
-			break
+// suits reports whether a worker that has room may be given the job.
+func (s *Scheduler) suits(w *Worker, j *Job, now time.Time) bool {
+	return s.eligible(w, j, now) && s.mayUse(w, j, now)
+}
+
+// tightest returns the workers with the least free resources that suit.
+func (s *Scheduler) tightest(j *Job, now time.Time) []*Worker {
+	picked := make([]*Worker, 0, j.Shape.Workers)
+	s.index.tightest(j.Shape.Demand, func(i int) bool {
+		if w := s.order[i]; s.suits(w, j, now) {
+			picked = append(picked, w)
 		}
-	}
-	if best == nil {
-		return candidate{}, false
-	}
-	slices.SortFunc(best, compareWorkers)
-	return candidate{workers: best, reason: reasonBorrowed}, true
+		return len(picked) < j.Shape.Workers
+	})
+	return picked
 }
 
-// pick chooses workers of one group, and returns the free accelerators that
-// the group has besides.
-func (s *Scheduler) pick(j *Job, now time.Time, group []*Worker) (picked []*Worker, left int) {
-	for _, w := range group {
-		free := w.free()
-		left += free.Accelerators
-		if j.Shape.Demand.Fits(free) && s.eligible(w, j, now) && s.mayUse(w, j, now) {
+// first returns the first workers in the worker order that suit.
+func (s *Scheduler) first(j *Job, now time.Time) []*Worker {
+	picked := make([]*Worker, 0, j.Shape.Workers)
+	s.index.fitting(j.Shape.Demand).each(func(i int) bool {
+		if w := s.order[i]; s.suits(w, j, now) {
 			picked = append(picked, w)
 		}
-	}
-	if len(picked) < j.Shape.Workers {
-		return nil, 0
-	}
-	if s.policy.BestFit {
-		slices.SortStableFunc(picked, s.tighter)
-	}
-	return picked[:j.Shape.Workers], left
+		return len(picked) < j.Shape.Workers
+	})
+	return picked
+}
+
+// bestRack returns workers of the rack that has the least free accelerators
+// besides, of the first racks that suit.
+func (s *Scheduler) bestRack(j *Job, now time.Time) []*Worker {
+	var best, picked []*Worker
+	bestLeft, seen, rack := 0, 0, -1
+	s.index.fitting(j.Shape.Demand).each(func(i int) bool {
+		w := s.order[i]
+		if w.rack != rack {
+			rack = w.rack
+			picked = picked[:0]
+		}
+		if len(picked) == j.Shape.Workers || !s.suits(w, j, now) {
+			return true
+		}
+		if picked = append(picked, w); len(picked) < j.Shape.Workers {
+			return true
+		}
+		seen++
+		if left := s.freeInRack(rack); best == nil || left < bestLeft {
+			best, bestLeft = slices.Clone(picked), left
+		}
+		return s.policy.BestFit && seen < maxRacks
+	})
+	return best
 }
 
-// tighter orders workers by what they have free, the least first. Of equals,
-// the one with less bound to homes comes first, since work there is less
-// likely to be preempted.
-func (s *Scheduler) tighter(a, b *Worker) int {
-	fa, fb := a.free(), b.free()
-	return cmp.Or(
-		cmp.Compare(fa.Accelerators, fb.Accelerators),
-		cmp.Compare(fa.Slots, fb.Slots),
-		cmp.Compare(a.homed.Accelerators, b.homed.Accelerators),
-	)
+// freeInRack returns the free accelerators of a rack.
+func (s *Scheduler) freeInRack(rack int) int {
+	sum := 0
+	for _, w := range s.racks[rack] {
+		sum += w.free().Accelerators
+	}
+	return sum
 }
--- a/core/schedule/reserve.go
+++ b/core/schedule/reserve.go
@@ -19,18 +19,25 @@
 // renewReservations drops the reservations but for those of the workers that
 // are being cleared for the heads of the lanes.
 func (s *Scheduler) renewReservations() {
-	for _, w := range s.order {
+	for _, w := range s.reserved {
 		w.reservation = reservation{}
 	}
-	for _, l := range s.sortedLanes() {
+	s.reserved = s.reserved[:0]
+	for _, l := range s.laneList {
 		j := l.head()
 		if j == nil {
 			continue
 		}
-		for _, w := range j.kept {
-			w.reservation = reservation{job: j, end: j.keptUntil}
-		}
+		s.reserveAll(j.kept, j, j.keptUntil)
+	}
+}
+
+// reserveAll reserves workers for a job.
+func (s *Scheduler) reserveAll(workers []*Worker, j *Job, end time.Time) {
+	for _, w := range workers {
+		w.reservation = reservation{job: j, end: end}
 	}
+	s.reserved = append(s.reserved, workers...)
 }
 
 // reserve keeps workers for a job that could not be placed: those that are
@@ -53,16 +60,18 @@
 	}
 	c, ok := s.keepClearing(j, now)
 	if !ok {
+		if now.Before(j.nextClear) {
+			s.wakeAt(j.nextClear, now)
+			return decisions
+		}
 		if c, ok = s.cheapest(j, groups, now); !ok {
-			j.kept = nil
+			j.kept, j.nextClear = nil, now.Add(clearPause)
 			s.reserveSoonest(j, groups, now)
 			return decisions
 		}
 		j.kept, j.keptUntil = c.workers, now.Add(c.cost)
 	}
-	for _, w := range c.workers {
-		w.reservation = reservation{job: j, end: j.keptUntil}
-	}
+	s.reserveAll(c.workers, j, j.keptUntil)
 	return s.defragment(c, decisions)
 }
 
@@ -106,9 +115,7 @@
 			best, bestEnd = picked, end
 		}
 	}
-	for _, w := range best {
-		w.reservation = reservation{job: j, end: bestEnd}
-	}
+	s.reserveAll(best, j, bestEnd)
 }
 
 // soonest returns the workers of a group that are expected to have room for
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -25,6 +25,12 @@
 	workers   map[string]*Worker
 	order     []*Worker // by zone, rack and name: the global worker order
 	racks     [][]*Worker
+	index     index
+	freeSlots int       // of the workers in the index
+	reserved  []*Worker // that have a reservation
+	laneList  []*lane   // in a fixed order
+	weights   map[string]int
+	weightSum int
 	jobs      map[string]*Job
 	lanes     map[laneKey]*lane
 	deadlines timeline
@@ -78,6 +84,12 @@
 			l.class = class(v.Priority)
 		}
 	}
+	s.sortLanes()
+	s.weights, s.weightSum = make(map[string]int, len(cfg.Customers)), 0
+	for _, c := range cfg.Customers {
+		s.weights[c.Name] = c.Weight
+		s.weightSum += c.Weight
+	}
 	s.dirty = true
 }
 
@@ -91,6 +103,7 @@
 	}
 	for _, w := range s.workers {
 		s.setHomes(w)
+		s.touch(w)
 	}
 	s.dirty = true
 }
@@ -128,9 +141,27 @@
 		w.services = set(r.Services)
 	}
 	s.applyUsage(w, r)
+	s.touch(w)
 	s.dirty = true
 }
 
+// touch brings a worker's place in the index up to date with its free
+// resources.
+func (s *Scheduler) touch(w *Worker) {
+	if w.bucket != nil {
+		w.bucket.remove(w.position)
+		w.bucket = nil
+		s.freeSlots -= w.counted
+	}
+	if !w.Ready {
+		return
+	}
+	free := w.free()
+	w.bucket = s.index.insert(w.position, bucketKey{free: free, homed: w.homed.Accelerators})
+	w.counted = max(free.Slots, 0)
+	s.freeSlots += w.counted
+}
+
 // serves reports whether the worker's services are exactly those named.
 func (w *Worker) serves(names []string) bool {
 	unknown := func(v string) bool { return !w.services[v] }
@@ -197,6 +228,21 @@
 		s.racks = append(s.racks, s.order[start:end])
 		start = end
 	}
+	s.reindex()
+}
+
+// reindex makes the index anew after a change of the worker order.
+func (s *Scheduler) reindex() {
+	s.index.reset(len(s.order))
+	s.freeSlots = 0
+	position := 0
+	for rack, workers := range s.racks {
+		for _, w := range workers {
+			w.position, w.rack, w.bucket = position, rack, nil
+			s.touch(w)
+			position++
+		}
+	}
 }
 
 func compareWorkers(a, b *Worker) int {
@@ -209,6 +255,7 @@
 	s.record(Call{Op: OpGone, Worker: name})
 	if w, ok := s.workers[name]; ok {
 		w.Ready = false
+		s.touch(w)
 	}
 }
 
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -55,10 +54,9 @@
 	}
 }
 
-// sortedLanes returns the lanes in an order that does not depend on chance.
-func (s *Scheduler) sortedLanes() []*lane {
-	lanes := slices.Collect(maps.Values(s.lanes))
-	slices.SortFunc(lanes, func(a, b *lane) int {
+// sortLanes puts the lanes into an order that does not depend on chance.
+func (s *Scheduler) sortLanes() {
+	slices.SortFunc(s.laneList, func(a, b *lane) int {
 		return cmp.Or(
 			cmp.Compare(a.class, b.class),
 			cmp.Compare(a.key.customer, b.key.customer),
@@ -66,7 +64,6 @@
 			compareBool(a.key.straggler, b.key.straggler),
 		)
 	})
-	return lanes
 }
 
 // expire ends the waiting jobs whose deadline has passed.
@@ -91,7 +88,7 @@
 // placeAll places the heads of the lanes, the most pressing first, until
 // nothing more fits.
 func (s *Scheduler) placeAll(now time.Time, decisions []Decision) []Decision {
-	for _, l := range s.lanes {
+	for _, l := range s.laneList {
 		l.blocked = l.jobs.Len() == 0
 	}
 	s.renewReservations()
@@ -128,7 +125,7 @@
 func (s *Scheduler) mostPressing(now time.Time) *lane {
 	var best *lane
 	var bestCost float64
-	for _, l := range s.lanes {
+	for _, l := range s.laneList {
 		if l.blocked {
 			continue
 		}
@@ -189,19 +186,10 @@
 // share returns what a customer uses, as a multiple of its weighted share of
 // the slots.
 func (s *Scheduler) share(customer string) float64 {
-	weight := 1
-	sum := 0
-	for i := range s.cfg.Customers {
-		c := &s.cfg.Customers[i]
-		sum += c.Weight
-		if c.Name == customer {
-			weight = c.Weight
-		}
-	}
-	if s.total.Slots == 0 || sum == 0 {
+	if s.total.Slots == 0 || s.weightSum == 0 {
 		return 0
 	}
-	fair := float64(s.total.Slots) * float64(weight) / float64(sum)
+	fair := float64(s.total.Slots) * float64(max(s.weights[customer], 1)) / float64(s.weightSum)
 	return float64(s.used[customer].Slots) / fair
 }
 
--- a/core/schedule/yield.go
+++ b/core/schedule/yield.go
@@ -16,7 +16,7 @@
 		return decisions
 	}
 	missing := -s.freeing.Slots
-	for _, l := range s.sortedLanes() {
+	for _, l := range s.laneList {
 		head := l.head()
 		if head == nil || l.key.straggler || l.shape.Workers > 1 {
 			continue
@@ -51,7 +51,7 @@
 // the longest; nil if there is none.
 func (s *Scheduler) victim(waiting *lane, limit time.Duration, now time.Time) *Job {
 	var best *Job
-	for _, l := range s.sortedLanes() {
+	for _, l := range s.laneList {
 		if l.class < waiting.class {
 			continue
 		}
--- /dev/null
+++ b/core/worker/bench_test.go
@@ -0,0 +1,37 @@
+package worker
+
+import (
+	"fmt"
+	"testing"
+
+	"bramleythread/core/config"
+	"bramleythread/core/plan"
+)
+
+// BenchmarkReclaim times the admission of home work to a worker that borrowed
+// tasks fill, at the sizes of today and with the target's 19 tasks and more.
+func BenchmarkReclaim(b *testing.B) {
+	for _, n := range []int{8, 19, 64} {
+		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
+			tab := NewTable()
+			tab.SetCapacity(config.Demand{Slots: n, Accelerators: n})
+			tab.SetService(true)
+			tab.SetHomes(1, map[plan.Key]config.Demand{homeOf("a"): {Slots: 1, Accelerators: 1}})
+			for i := range n {
+				tab.Admit(ask(fmt.Sprint("b", i), "b", 1, false), start)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				a := ask("a", "a", 1, true)
+				g := tab.Admit(a, start)
+				if len(g.Victims) != 1 {
+					b.Fatal("nothing was preempted")
+				}
+				tab.Remove(a.ID)
+				tab.Remove(g.Victims[0])
+				tab.Admit(ask(fmt.Sprint("c", i), "b", 1, false), start)
+			}
+		})
+	}
+}
--- a/io/operator/caller_test.go
+++ b/io/operator/caller_test.go
@@ -34,7 +34,8 @@
 	return call(http.MethodPost, addr, token, "/v1/services/"+service+"/requests", key, body)
 }
 
-func call(method string, addr netip.AddrPort, token, path, key, body string) reply {
+// call makes a request; prefer is the value of its Prefer header.
+func call(method string, addr netip.AddrPort, token, path, key, body string, prefer ...string) reply {
 	r, err := http.NewRequest(method, "http://"+addr.String()+path, strings.NewReader(body))
 	if err != nil {
 		return reply{err: err}
@@ -43,6 +44,9 @@
 	if key != "" {
 		r.Header.Set("Idempotency-Key", key)
 	}
+	for _, p := range prefer {
+		r.Header.Set("Prefer", p)
+	}
 	resp, err := testClient.Do(r)
 	if err != nil {
 		return reply{err: err}
@@ -66,21 +70,11 @@
 // submit posts a request without waiting for its outcome, and returns its id.
 func (f *fleet) submit(entry int, customer, service, key, body string) string {
 	f.t.Helper()
-	r, err := http.NewRequest(http.MethodPost, "http://"+f.entries[entry].http.String()+"/v1/services/"+service+"/requests", strings.NewReader(body))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	r.Header.Set("Authorization", "Bearer "+customer)
-	r.Header.Set("Prefer", "respond-async")
-	if key != "" {
-		r.Header.Set("Idempotency-Key", key)
-	}
-	resp, err := testClient.Do(r)
-	if err != nil {
-		f.t.Fatal(err)
+	r := call(http.MethodPost, f.entries[entry].http, customer, "/v1/services/"+service+"/requests", key, body, "respond-async")
+	if r.err != nil {
+		f.t.Fatal(r.err)
 	}
-	_ = resp.Body.Close()
-	return resp.Header.Get("Bramleythread-Request")
+	return r.request
 }
 
 // result waits for the outcome of a request.
