--- a/io/operator/fleet_test.go
+++ b/io/operator/fleet_test.go
@@ -61,7 +61,7 @@
 // upstreams are stand-ins inside the test process, where their faults are set
 // and their records read.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	cfg       fleetConfig
 	dir       string
 	platform  *platform.Standin
@@ -77,7 +77,7 @@
 
 // child is one process of a role.
 type child struct {
-	t       *testing.T
+	t       testing.TB
 	role    string
 	file    string // settings
 	log     string
@@ -92,7 +92,7 @@
 
 // newAddress returns an address on a loopback host of its own, with a port
 // from the kernel, so that it can be bound again after a restart.
-func newAddress(t *testing.T) netip.AddrPort {
+func newAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	n := lastHost.Add(1)
 	host := netip.AddrFrom4([4]byte{127, byte(10 + os.Getpid()%200), byte(n >> 8), byte(n)})
@@ -104,7 +104,7 @@
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func startFleet(t *testing.T, cfg fleetConfig) *fleet {
+func startFleet(t testing.TB, cfg fleetConfig) *fleet {
 	t.Helper()
 	f := &fleet{t: t, cfg: cfg, dir: t.TempDir(), platform: platform.NewStandin(), replies: make(map[string][]reply)}
 	t.Cleanup(f.stopAll)
@@ -507,7 +507,7 @@
 	relayCutBack // only what the target sends is swallowed
 )
 
-func newRelay(t *testing.T, target netip.AddrPort) *relay {
+func newRelay(t testing.TB, target netip.AddrPort) *relay {
 	t.Helper()
 	addr := newAddress(t)
 	l, err := net.Listen("tcp", addr.String())
@@ -573,7 +573,7 @@
 
 const cutAfter = 1024
 
-func newCutter(t *testing.T, target netip.AddrPort) *cutter {
+func newCutter(t testing.TB, target netip.AddrPort) *cutter {
 	t.Helper()
 	l, err := net.Listen("tcp", newAddress(t).String())
 	if err != nil {
@@ -618,7 +618,7 @@
 	return status, out.String(), errs.String()
 }
 
-func readFile(t *testing.T, name string) string {
+func readFile(t testing.TB, name string) string {
 	t.Helper()
 	data, err := os.ReadFile(name)
 	if err != nil {
