--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -188,16 +188,8 @@
 	},
 }
 
-func byRack(a, b want) int {
-	switch {
-	case a.shape.SameRack == b.shape.SameRack:
-		return 0
-	case a.shape.SameRack:
-		return -1
-	default:
-		return 1
-	}
-}
+// byRack orders shapes that must lie in one rack before the others.
+func byRack(a, b want) int { return config.CompareBool(!a.shape.SameRack, !b.shape.SameRack) }
 
 // identity makes an order total, so that plans do not depend on input order.
 func identity(a, b want) int {
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bramleythread/core/config"
 	"bramleythread/core/plan"
 )
 
@@ -90,25 +91,13 @@
 	}
 	slices.SortStableFunc(homes, func(a, b plan.Home) int {
 		return cmp.Or(
-			compareBool(a.Shape != j.Shape.Name, b.Shape != j.Shape.Name),
+			config.CompareBool(a.Shape != j.Shape.Name, b.Shape != j.Shape.Name),
 			cmp.Compare(len(a.Workers)*a.Demand.Accelerators, len(b.Workers)*b.Demand.Accelerators),
 		)
 	})
 	return homes
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 func (s *Scheduler) homeWorkers(j *Job, h plan.Home, now time.Time, onlyFree bool) []*Worker {
 	var picked []*Worker
 	k := plan.Key{Customer: h.Customer, Shape: h.Shape}
--- a/core/schedule/tick.go
+++ b/core/schedule/tick.go
@@ -61,7 +61,7 @@
 			cmp.Compare(a.class, b.class),
 			cmp.Compare(a.key.customer, b.key.customer),
 			cmp.Compare(a.key.service, b.key.service),
-			compareBool(a.key.straggler, b.key.straggler),
+			config.CompareBool(a.key.straggler, b.key.straggler),
 		)
 	})
 }
--- a/core/schedule/yield.go
+++ b/core/schedule/yield.go
@@ -59,7 +59,7 @@
 			v := e.Value.(*Job)
 			if s.rest(v, now) < limit {
 				if l.class <= waiting.class && !l.key.straggler {
-					break // the others have run for less
+					break // of its own class, a lane gives only what it has run for long
 				}
 				continue
 			}
--- a/core/worker/table.go
+++ b/core/worker/table.go
@@ -262,27 +262,15 @@
 	}
 	slices.SortFunc(rows, func(x, y *Task) int {
 		return cmp.Or(
-			compareBool(x.Home, y.Home),
-			compareBool(x.Customer == a.Customer, y.Customer == a.Customer),
-			compareBool(x.Gang, y.Gang),
+			config.CompareBool(x.Home, y.Home),
+			config.CompareBool(x.Customer == a.Customer, y.Customer == a.Customer),
+			config.CompareBool(x.Gang, y.Gang),
 			cmp.Compare(y.sequence, x.sequence),
 		)
 	})
 	return rows
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	default:
-		return 1
-	}
-}
-
 // Start moves a held task to running and clears the limit of its hold. It
 // reports whether the task was held.
 func (t *Table) Start(id ID, now time.Time) bool {
--- a/io/caller/budget.go
+++ b/io/caller/budget.go
@@ -2,14 +2,16 @@
 
 import "sync"
 
-// retryBurst is the number of retries that may follow on a quiet time.
-const retryBurst = 10
+const (
+	retryBurst = 10  // retries that may follow on a quiet time
+	oneRetry   = 100 // hundredths
+)
 
 // budget bounds retries to a share of the first attempts, so that retries
 // cannot multiply load.
 type budget struct {
 	mu     sync.Mutex
-	tokens float64
+	tokens int // hundredths of a retry
 	filled bool
 }
 
@@ -18,7 +20,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fill()
-	b.tokens = min(b.tokens+float64(percent)/100, retryBurst)
+	b.tokens = min(b.tokens+percent, retryBurst*oneRetry)
 }
 
 // spend takes one retry; it reports false if there is none left.
@@ -26,10 +28,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fill()
-	if b.tokens < 1 {
+	if b.tokens < oneRetry {
 		return false
 	}
-	b.tokens--
+	b.tokens -= oneRetry
 	return true
 }
 
@@ -37,6 +39,6 @@
 func (b *budget) fill() {
 	if !b.filled {
 		b.filled = true
-		b.tokens = retryBurst
+		b.tokens = retryBurst * oneRetry
 	}
 }
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -65,6 +65,7 @@
 	planned  planner
 	versions map[string]versions // by worker
 	sampled  time.Time
+	forgot   time.Time
 }
 
 // versions are those that an agent last reported.
@@ -256,6 +257,7 @@
 		e.tick(now)
 		e.expireFinished(now)
 		e.sampleFleet(now)
+		e.forgetWorkers(now)
 		wait := idleWait
 		if at, ok := e.sched.NextTimer(); ok {
 			wait = min(wait, max(at.Sub(now), 0))
@@ -265,6 +267,29 @@
 	}
 }
 
+// Times of the forgetting of workers that are gone.
+const (
+	forgetInterval = time.Minute
+	forgetAfter    = 10 * time.Minute
+)
+
+// forgetWorkers drops what is known of workers that have been gone for long.
+// The caller holds mu.
+func (e *Entry) forgetWorkers(now time.Time) {
+	if now.Sub(e.forgot) < forgetInterval {
+		return
+	}
+	e.forgot = now
+	for _, name := range e.sched.Forget(now.Add(-forgetAfter)) {
+		delete(e.versions, name)
+	}
+	for name, at := range e.seen {
+		if now.Sub(at) > forgetAfter {
+			delete(e.seen, name)
+		}
+	}
+}
+
 // tick runs the scheduler and carries out its decisions. The caller holds mu.
 func (e *Entry) tick(now time.Time) {
 	for _, d := range e.sched.Tick(now) {
--- a/io/caller/follow.go
+++ b/io/caller/follow.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
-	"strings"
 	"time"
 
 	"bramleythread/io/platform"
@@ -13,12 +11,9 @@
 
 // Intervals of the entry's loops.
 const (
-	configPoll       = time.Second
-	registryInterval = 5 * time.Second
-	registrySilence  = 30 * time.Second // after which an entry counts as gone
-	peerInterval     = 500 * time.Millisecond
-	storeTimeout     = 2 * time.Second
-	registryPrefix   = "entry/"
+	configPoll   = time.Second
+	peerInterval = 500 * time.Millisecond
+	storeTimeout = 2 * time.Second
 )
 
 // configLoop follows the configuration and plan rows, and replaces the plan
@@ -129,100 +124,6 @@
 	return m
 }
 
-// knownEntry is another entry. changed is the time, by this process's clock,
-// at which its row was last seen to change.
-type knownEntry struct {
-	revision uint64
-	changed  time.Time
-	seed     bool
-}
-
-// registryRow is the row by which an entry makes itself known.
-type registryRow struct {
-	Name string    `json:"name"`
-	Zone string    `json:"zone"`
-	Time time.Time `json:"time"` // for operators; only changes of the row count
-}
-
-// registryLoop keeps the entry's own row fresh and follows the others'.
-func (e *Entry) registryLoop() {
-	e.mu.Lock()
-	for _, addr := range e.cfg.Peers {
-		e.known[addr] = &knownEntry{seed: true}
-	}
-	e.mu.Unlock()
-	e.poll(registryInterval, func() {
-		e.writeRegistry()
-		e.readRegistry()
-	})
-}
-
-func (e *Entry) writeRegistry() {
-	ctx, cancel := context.WithTimeout(e.ctx, storeTimeout)
-	defer cancel()
-	value, err := json.Marshal(registryRow{Name: e.cfg.Name, Zone: e.cfg.Zone, Time: clock()})
-	if err != nil {
-		return
-	}
-	// The next round repeats a write that failed.
-	_, _ = e.cfg.Store.Commit(ctx, platform.Txn{
-		Writes: []platform.Write{{Key: registryPrefix + e.cfg.Control.String(), Value: value}},
-	})
-}
-
-func (e *Entry) readRegistry() {
-	ctx, cancel := context.WithTimeout(e.ctx, storeTimeout)
-	defer cancel()
-	rows, err := e.cfg.Store.Scan(ctx, registryPrefix)
-	if err != nil {
-		return
-	}
-	if !e.noteEntries(rows, clock()) {
-		return
-	}
-	entries := e.entries()
-	e.pool.Push(func(string) wire.Message { return &wire.Peers{Entries: entries} })
-}
-
-// noteEntries updates the known entries and reports whether any is new.
-func (e *Entry) noteEntries(rows []platform.Row, now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	fresh := false
-	for _, row := range rows {
-		addr, err := netip.ParseAddrPort(strings.TrimPrefix(row.Key, registryPrefix))
-		if err != nil || addr == e.cfg.Control {
-			continue
-		}
-		k, ok := e.known[addr]
-		if !ok {
-			k = &knownEntry{}
-			e.known[addr] = k
-			fresh = true
-		}
-		if k.revision != row.Revision {
-			k.revision, k.changed = row.Revision, now
-		}
-	}
-	for addr, k := range e.known {
-		if !k.seed && now.Sub(k.changed) > registrySilence {
-			delete(e.known, addr)
-		}
-	}
-	return fresh
-}
-
-// entries returns the control addresses of the other entries and of this one.
-func (e *Entry) entries() []netip.AddrPort {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	addrs := []netip.AddrPort{e.cfg.Control}
-	for addr := range e.known {
-		addrs = append(addrs, addr)
-	}
-	return addrs
-}
-
 // peerLoop exchanges configuration and views of the fleet with the others.
 func (e *Entry) peerLoop() {
 	e.poll(peerInterval, func() {
--- a/io/entry/preempt.go
+++ b/io/entry/preempt.go
@@ -45,15 +45,13 @@
 func (a *Agent) checkpoint(w *work) {
 	grace := w.run.Grace
 	end := time.Now().Add(grace)
-	if young := grace - checkpointTime; young > 0 && w.attained(time.Now()) < grace && !a.finishedWithin(w, young) {
-		a.cfg.Log.Debug().Str("request", w.id.Request).Msg("grace_used")
+	if w.attained(time.Now()) < grace && a.finishedWithin(w, grace-checkpointTime) {
+		return
 	}
 	ctx, cancel := context.WithDeadline(a.ctx, end)
 	defer cancel()
-	err := a.tasks().Checkpoint(ctx, a.taskID(w))
-	if err == nil && a.finishedWithin(w, time.Until(end)) {
-		return
-	}
+	// Without a checkpoint the task may still end by itself within the grace.
+	_ = a.tasks().Checkpoint(ctx, a.taskID(w))
 	if !a.finishedWithin(w, time.Until(end)) {
 		a.stopTask(w)
 	}
--- /dev/null
+++ b/io/frame/header.go
@@ -0,0 +1,66 @@
+package frame
+
+import (
+	"encoding/binary"
+	"io"
+
+	"bramleythread/io/wire"
+)
+
+type header struct {
+	length int
+	kind   wire.Kind
+	flags  byte
+	id     uint64
+}
+
+func readHeader(r io.Reader, limit int) (header, error) {
+	var b [headerSize]byte
+	if _, err := io.ReadFull(r, b[:]); err != nil {
+		return header{}, err
+	}
+	n := binary.BigEndian.Uint32(b[0:4])
+	if int64(n) > int64(limit) {
+		return header{}, &LimitError{What: "frame length", Value: int(n), Limit: limit}
+	}
+	return header{
+		length: int(n),
+		kind:   wire.Kind(b[4]),
+		flags:  b[5],
+		id:     binary.BigEndian.Uint64(b[6:14]),
+	}, nil
+}
+
+// decodeBody reads the body of h into buf, which it may grow, and decodes it.
+func decodeBody(r io.Reader, h header, buf []byte) (wire.Message, []byte, error) {
+	m, err := wire.Make(h.kind)
+	if err != nil {
+		return nil, buf, err
+	}
+	if cap(buf) < h.length || cap(buf) > keptBuffer {
+		buf = make([]byte, h.length)
+	}
+	buf = buf[:h.length]
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return nil, buf, err
+	}
+	if _, err := m.UnmarshalMsg(buf); err != nil {
+		return nil, buf, err
+	}
+	return m, buf, nil
+}
+
+func appendFrame(b []byte, k wire.Kind, flags byte, id uint64, m wire.Message) ([]byte, error) {
+	b = append(b, make([]byte, headerSize)...)
+	if m != nil {
+		var err error
+		if b, err = m.MarshalMsg(b); err != nil {
+			return b, err
+		}
+	}
+	binary.BigEndian.PutUint32(b[0:4], uint32(len(b)-headerSize))
+	b[4] = byte(k)
+	b[5] = flags
+	binary.BigEndian.PutUint64(b[6:14], id)
+	return b, nil
+}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -29,6 +30,11 @@
 func (e *ReplyError) Error() string { return fmt.Sprintf("entry answered %d: %s", e.Status, e.Detail) }
 
 // settingsFlag adds the flag of the operator's settings.
+func settingsFlag(fs *flag.FlagSet) *string {
+	return fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+}
+
+// settingsPath returns the file that the flag or the environment names.
 func settingsPath(env Env, value string) string {
 	if value != "" {
 		return value
--- a/io/operator/cmd_config.go
+++ b/io/operator/cmd_config.go
@@ -16,7 +16,7 @@
 	Args:        "[-settings FILE] [-text]",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("config", env)
-		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+		settings := settingsFlag(fs)
 		text := fs.Bool("text", false, "print the base file and the overlay too")
 		if err := parse(env, fs, args, 0); err != nil {
 			return err
--- a/io/operator/cmd_drain.go
+++ b/io/operator/cmd_drain.go
@@ -11,7 +11,7 @@
 	Args:        "[-settings FILE] WORKER",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("drain", env)
-		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+		settings := settingsFlag(fs)
 		if err := parse(env, fs, args, 1); err != nil {
 			return err
 		}
--- a/io/operator/cmd_explain.go
+++ b/io/operator/cmd_explain.go
@@ -13,7 +13,7 @@
 	Args:        "[-settings FILE] REQUEST",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("explain", env)
-		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+		settings := settingsFlag(fs)
 		if err := parse(env, fs, args, 1); err != nil {
 			return err
 		}
--- a/io/operator/cmd_publish.go
+++ b/io/operator/cmd_publish.go
@@ -19,7 +19,7 @@
 	Args:        "[-settings FILE] -base FILE [-overlay FILE] [-author NAME] [-expect VERSION]",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("publish", env)
-		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+		settings := settingsFlag(fs)
 		base := fs.String("base", "", "base configuration `FILE`")
 		overlay := fs.String("overlay", "", "overlay `FILE` of the site")
 		author := fs.String("author", env.Getenv("USER"), "`NAME` that others see")
--- a/io/operator/cmd_replay.go
+++ b/io/operator/cmd_replay.go
@@ -21,7 +21,7 @@
 		fs := cmdFlags("replay", env)
 		only := fs.Bool("only", false, "leave out the baselines")
 		object := fs.Bool("object", false, "TRACE is a key of the object store, as an entry logs it")
-		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+		settings := settingsFlag(fs)
 		if err := parse(env, fs, args, 1); err != nil {
 			return err
 		}
--- a/io/operator/cmd_status.go
+++ b/io/operator/cmd_status.go
@@ -16,7 +16,7 @@
 	Args:        "[-settings FILE]",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("status", env)
-		settings := fs.String("settings", "", "operator's settings `FILE` (or $BRAMLEYTHREAD_SETTINGS)")
+		settings := settingsFlag(fs)
 		if err := parse(env, fs, args, 0); err != nil {
 			return err
 		}
--- a/io/operator/process_agent.go
+++ b/io/operator/process_agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/netip"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,14 +29,10 @@
 }
 
 func startAgent(s *config.Settings, store platform.Store, log zerolog.Logger) (*agentProcess, error) {
-	l, control, err := listen(s.Control)
+	l, control, advertise, err := listenControl(s)
 	if err != nil {
 		return nil, err
 	}
-	advertise := s.Advertise
-	if advertise.Port() == 0 {
-		advertise = netip.AddrPortFrom(advertise.Addr(), control.Port())
-	}
 	registry := newRegistry()
 	a := entry.New(entry.Config{
 		Name:        s.Name,
--- a/io/operator/process_entry.go
+++ b/io/operator/process_entry.go
@@ -24,14 +24,10 @@
 }
 
 func startEntry(s *config.Settings, store platform.Store, log zerolog.Logger) (*entryProcess, error) {
-	l, control, err := listen(s.Control)
+	l, control, advertise, err := listenControl(s)
 	if err != nil {
 		return nil, err
 	}
-	advertise := s.Advertise
-	if advertise.Port() == 0 {
-		advertise = netip.AddrPortFrom(advertise.Addr(), control.Port())
-	}
 	registry := newRegistry()
 	e := caller.New(caller.Config{
 		Name:        s.Name,
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"bramleythread/core/config"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -100,3 +102,14 @@
 	}
 	return l, l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
+
+// listenControl listens for control connections. It returns the address that
+// was bound, and the one at which others reach it.
+func listenControl(s *config.Settings) (l net.Listener, bound, advertise netip.AddrPort, err error) {
+	l, bound, err = listen(s.Control)
+	advertise = s.Advertise
+	if err == nil && advertise.Port() == 0 {
+		advertise = netip.AddrPortFrom(advertise.Addr(), bound.Port())
+	}
+	return l, bound, advertise, err
+}
