Test the claims and the keeper by themselves

Change: tests of the claims against the stand-in: 4 processes race for 50 keys while replies are lost, cancellations, take-overs, another body, a store that is down; a publication whose reply is lost; versions that only grow.

--- /dev/null
+++ b/io/platform/claim_test.go
@@ -0,0 +1,157 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func never(string) bool { return false }
+
+func newTestClaims(t *testing.T, s *Standin) *Claims {
+	t.Helper()
+	c := NewClaims(s.Store())
+	t.Cleanup(c.Close)
+	return c
+}
+
+// TestOneClaimWins has several processes claim the same keys at once, while
+// replies to their transactions are lost.
+func TestOneClaimWins(t *testing.T) {
+	is := is.New(t)
+	s := NewStandin()
+	const processes, keys = 4, 50
+	won := make([]atomic.Int32, keys)
+	var wg sync.WaitGroup
+	for p := range processes {
+		c := newTestClaims(t, s)
+		for k := range keys {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				if k%5 == 0 {
+					s.SetFaults(Faults{LostReplies: 1})
+				}
+				_, err := c.Take(context.Background(), fmt.Sprint("claim/", k), Claim{Token: fmt.Sprint(p, "/", k), State: Claimed}, never)
+				var held *HeldError
+				switch {
+				case err == nil:
+					won[k].Add(1)
+				case !errors.As(err, &held):
+					t.Errorf("key %d: %v", k, err)
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	for k := range keys {
+		is.Equal(won[k].Load(), int32(1))
+	}
+}
+
+func TestClaimsAndCancellations(t *testing.T) {
+	ctx := context.Background()
+	for name, run := range map[string]func(is *is.I, c *Claims){
+		"cancelled first": func(is *is.I, c *Claims) {
+			is.NoErr(c.Cancel(ctx, "k", Claim{Token: "cancel"}))
+			_, err := c.Take(ctx, "k", Claim{Token: "a", State: Claimed}, never)
+			var held *HeldError
+			is.True(errors.As(err, &held))
+			is.Equal(held.Claim.State, ClaimCancelled)
+			is.NoErr(c.Cancel(ctx, "k", Claim{Token: "cancel again"}))
+		},
+		"claimed first": func(is *is.I, c *Claims) {
+			_, err := c.Take(ctx, "k", Claim{Token: "a", State: Claimed}, never)
+			is.NoErr(err)
+			var held *HeldError
+			is.True(errors.As(c.Cancel(ctx, "k", Claim{Token: "cancel"}), &held))
+			is.Equal(held.Claim.Token, "a")
+		},
+		"opened and taken over": func(is *is.I, c *Claims) {
+			_, err := c.Take(ctx, "k", Claim{Token: "a", State: Claimed}, never)
+			is.NoErr(err)
+			is.True(c.Open(ctx, "k", "a", "checkpoint/1"))
+			checkpoint, err := c.Take(ctx, "k", Claim{Token: "b", State: Claimed}, never)
+			is.NoErr(err)
+			is.Equal(checkpoint, "checkpoint/1")
+			is.True(c.Open(ctx, "k", "a", "")) // settled: it is another's now
+			_, err = c.Take(ctx, "k", Claim{Token: "c", State: Claimed}, never)
+			var held *HeldError
+			is.True(errors.As(err, &held))
+			is.Equal(held.Claim.Token, "b")
+		},
+		"other body": func(is *is.I, c *Claims) {
+			_, err := c.Take(ctx, "k", Claim{Token: "a", State: Claimed, BodyDigest: "1"}, never)
+			is.NoErr(err)
+			is.True(c.Open(ctx, "k", "a", ""))
+			_, err = c.Take(ctx, "k", Claim{Token: "b", State: Claimed, BodyDigest: "2"}, never)
+			var held *HeldError
+			is.True(errors.As(err, &held)) // an open claim is for the same request only
+		},
+		"own earlier attempt": func(is *is.I, c *Claims) {
+			_, err := c.Take(ctx, "k", Claim{Token: "a", State: Claimed}, never)
+			is.NoErr(err)
+			_, err = c.Take(ctx, "k", Claim{Token: "b", State: Claimed}, func(token string) bool { return token == "a" })
+			is.NoErr(err)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(is.New(t), newTestClaims(t, NewStandin()))
+		})
+	}
+}
+
+// TestClaimWaitsForTheStore has the store down: the claim fails when its time
+// is over, and says that it may exist.
+func TestClaimWaitsForTheStore(t *testing.T) {
+	is := is.New(t)
+	s := NewStandin()
+	s.SetFaults(Faults{Outage: true})
+	c := newTestClaims(t, s)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Take(ctx, "k", Claim{Token: "a", State: Claimed}, never)
+	var down *UnavailableError
+	is.True(errors.As(err, &down))
+	s.SetFaults(Faults{})
+	_, err = c.Take(context.Background(), "k", Claim{Token: "b", State: Claimed}, never)
+	is.NoErr(err)
+}
+
+// TestPublishReadsBack loses the reply of a publication that took effect.
+func TestPublishReadsBack(t *testing.T) {
+	is := is.New(t)
+	s := NewStandin()
+	s.SetFaults(Faults{LostReplies: 1})
+	row := ConfigRow{Author: "a", Time: time.Now().UTC(), Base: "[deployment]\nname = x\n"}
+	version, err := Publish(context.Background(), s.Store(), 0, row)
+	is.NoErr(err)
+	is.Equal(version, uint64(1))
+	_, err = Publish(context.Background(), s.Store(), 0, ConfigRow{Author: "b"})
+	var race *RaceError
+	is.True(errors.As(err, &race))
+	is.Equal(race.Author, "a")
+}
+
+func TestKeeperNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	var k Keeper
+	row := ConfigRow{Version: 5, Base: "[deployment]\nname = x\n"}
+	changed, err := k.OfferConfig(row)
+	is.NoErr(err)
+	is.True(changed)
+	row.Version = 4
+	changed, err = k.OfferConfig(row)
+	is.NoErr(err)
+	is.True(!changed)
+	_, version := k.Config()
+	is.Equal(version, uint64(5))
+	k.Named(6)
+	is.True(k.Behind())
+}
