Cancel a request at any entry

Change: the entry passes the cancellation to the one that took the request in, or if that has gone, to the agents; both check the customer.

--- a/io/agent/pool.go
+++ b/io/agent/pool.go
@@ -40,6 +40,7 @@
 	Gone     func(worker string)
 	Ask      func(m *wire.AskConfig) wire.Message
 	Fetch    func(ctx context.Context, m *wire.Fetch) wire.Message
+	Cancel   func(ctx context.Context, m *wire.Cancel) wire.Message
 	Peers    func() []netip.AddrPort
 }
 
@@ -107,6 +108,8 @@
 		return p.cfg.Ask(m)
 	case *wire.Fetch:
 		return p.cfg.Fetch(ctx, m)
+	case *wire.Cancel:
+		return p.cfg.Cancel(ctx, m)
 	default:
 		c.Close()
 		return nil
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -105,6 +105,7 @@
 		Gone:     e.gone,
 		Ask:      e.answerAsk,
 		Fetch:    e.answerFetch,
+		Cancel:   e.answerCancel,
 		Peers:    e.entries,
 	})
 	e.peers = e.pool.NewPeers()
--- a/io/caller/follow.go
+++ b/io/caller/follow.go
@@ -186,6 +186,12 @@
 	if r == nil {
 		return &wire.Result{Request: m.Request, Outcome: wire.Unknown, Reason: wire.ReasonUnknownTask}
 	}
+	return e.awaitRequest(ctx, r)
+}
+
+// awaitRequest returns a copy of a request's result for another entry, or nil
+// if ctx ends first.
+func (e *Entry) awaitRequest(ctx context.Context, r *request) wire.Message {
 	select {
 	case <-r.done:
 		result := *r.result
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"bramleythread/io/platform"
 	"bramleythread/io/wire"
 )
 
@@ -51,10 +50,7 @@
 func (e *Entry) serveGetElsewhere(w http.ResponseWriter, r *http.Request, id, customer string) {
 	ctx, cancel := context.WithTimeout(r.Context(), lookUpTimeout)
 	defer cancel()
-	result := e.askOwner(ctx, id)
-	if result == nil {
-		result = e.askAgents(ctx, id)
-	}
+	result := e.askElsewhere(ctx, id, &wire.Fetch{Request: id})
 	if result == nil || result.Customer != customer {
 		refuseUnknown(w)
 		return
@@ -67,13 +63,22 @@
 	}
 }
 
+// askElsewhere asks the entry that took the request in, or if that has gone,
+// the agents; nil if nobody knows the request.
+func (e *Entry) askElsewhere(ctx context.Context, id string, m wire.Message) *wire.Result {
+	if result := e.askOwner(ctx, id, m); result != nil {
+		return result
+	}
+	return e.askAgents(ctx, m)
+}
+
 // askOwner asks the entry that took the request in; nil if it does not answer.
-func (e *Entry) askOwner(ctx context.Context, id string) *wire.Result {
+func (e *Entry) askOwner(ctx context.Context, id string, m wire.Message) *wire.Result {
 	addr, ok := e.peers.Named(ownerOf(id))
 	if !ok {
 		return nil
 	}
-	reply, err := e.peers.Call(ctx, addr, &wire.Fetch{Request: id})
+	reply, err := e.peers.Call(ctx, addr, m)
 	if err != nil {
 		return nil
 	}
@@ -98,8 +103,8 @@
 	return result
 }
 
-// askAgents asks every agent for a request; nil if none knows it.
-func (e *Entry) askAgents(ctx context.Context, id string) *wire.Result {
+// askAgents asks every agent; nil if none knows the request.
+func (e *Entry) askAgents(ctx context.Context, m wire.Message) *wire.Result {
 	var mu sync.Mutex
 	var found *wire.Result
 	slots := make(chan struct{}, lookUpParallel)
@@ -110,7 +115,7 @@
 		go func() {
 			defer wg.Done()
 			defer func() { <-slots }()
-			reply, err := e.pool.Call(ctx, worker, &wire.Fetch{Request: id})
+			reply, err := e.pool.Call(ctx, worker, m)
 			if err != nil {
 				return
 			}
@@ -124,63 +129,3 @@
 	wg.Wait()
 	return found
 }
-
-// serveDelete cancels a request.
-func (e *Entry) serveDelete(w http.ResponseWriter, r *http.Request) {
-	_, customer := e.authenticate(w, r)
-	if customer == nil {
-		return
-	}
-	id := r.PathValue("id")
-	e.mu.Lock()
-	req := e.requests[id]
-	e.mu.Unlock()
-	if req == nil || req.customer != customer.Name {
-		refuseUnknown(w)
-		return
-	}
-	e.cancelRequest(req)
-	t := time.NewTimer(lookUpTimeout)
-	defer t.Stop()
-	select {
-	case <-req.done:
-		writeResult(w, id, req.result)
-	case <-t.C:
-		writeAccepted(w, id)
-	}
-}
-
-// cancelRequest takes a waiting request out of the queue, or asks the agent
-// of a placed one not to start it.
-func (e *Entry) cancelRequest(r *request) {
-	now := clock()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if r.result != nil || r.cancelled {
-		return
-	}
-	r.note(now, "cancelled by the caller")
-	if e.sched.Cancel(r.id) {
-		e.finish(r, &wire.Result{Outcome: wire.NotRun, Reason: wire.ReasonCancelled}, now)
-		return
-	}
-	r.cancelled = true
-	worker := r.workers[0]
-	e.run(func() {
-		ctx, cancel := context.WithTimeout(e.ctx, lookUpTimeout)
-		defer cancel()
-		// The result of the attempt tells what became of it.
-		_, _ = e.pool.Call(ctx, worker, &wire.Cancel{Request: r.id})
-	})
-	if r.key != "" && !r.service.Repeatable {
-		e.run(func() { e.cancelClaim(r) })
-	}
-}
-
-// cancelClaim keeps an attempt that has not claimed the key from doing so.
-func (e *Entry) cancelClaim(r *request) {
-	ctx, cancel := context.WithTimeout(e.ctx, lookUpTimeout)
-	defer cancel()
-	// A claim that is held already means that the cancellation came too late.
-	_ = e.claims.Cancel(ctx, r.keyOf(), platform.Claim{Token: "cancel/" + r.id, Request: r.id})
-}
--- a/io/entry/result.go
+++ b/io/entry/result.go
@@ -166,7 +166,7 @@
 	a.mu.Lock()
 	w := a.latest[m.Request]
 	a.mu.Unlock()
-	if w == nil {
+	if w == nil || w.run.Customer != m.Customer {
 		return &wire.Result{Request: m.Request, Outcome: wire.Unknown, Reason: wire.ReasonUnknownTask}
 	}
 	if !w.run.Repeatable && w.hasStarted() {
--- a/io/operator/once_test.go
+++ b/io/operator/once_test.go
@@ -146,3 +146,25 @@
 	is.Equal(outcomes["ran"]+outcomes["not-run"]+outcomes["unknown"], 40)
 	f.verify()
 }
+
+// TestCancelThroughTheOtherEntry cancels requests where a balancer may send the
+// cancellation: at the entry that did not take them in, and after the death of
+// the one that did.
+func TestCancelThroughTheOtherEntry(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, fleetConfig{entries: 2, workers: 3, customers: []string{"a", "b"},
+		overlay: "[customer a]\nquota = 1\n"})
+	f.submit(0, "a", "long", "", `{"run_for":"1m"}`)
+	queued := f.submit(0, "a", onceService, "k", `{}`)
+	path := "/v1/requests/" + queued
+	is.Equal(call("DELETE", f.entries[1].http, "b", path, "", "").status, 404) // another's request
+	r := call("DELETE", f.entries[1].http, "a", path, "", "")
+	f.record("a", onceService, "k", r)
+	is.Equal(r.outcome, "not-run")
+	running := f.submit(0, "b", "long", "", `{"run_for":"1m"}`)
+	f.waitFor("the second task has started", settleLimit, func() bool { return len(f.executions()) == 2 })
+	f.entries[0].kill()
+	is.Equal(call("DELETE", f.entries[1].http, "b", "/v1/requests/"+running, "", "").outcome, "unknown")
+	f.waitFor("the second task has ended", settleLimit, func() bool { return !f.executions()[1].Ended.IsZero() || !f.executions()[0].Ended.IsZero() })
+	f.verify()
+}
--- a/io/wire/schema.go
+++ b/io/wire/schema.go
@@ -263,9 +263,10 @@
 	Reason  Reason `msg:"reason"`
 }
 
-// Cancel asks for a request not to run. The reply is a Result.
+// Cancel asks for a request of a customer not to run. The reply is a Result.
 type Cancel struct {
-	Request string `msg:"request"`
+	Request  string `msg:"request"`
+	Customer string `msg:"customer"`
 }
 
 // Fetch asks an agent for the result of a request, or of the claim that it
--- a/io/wire/schema_gen.go
+++ b/io/wire/schema_gen.go
@@ -154,10 +154,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z Cancel) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
 	// string "request"
-	o = append(o, 0x81, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = append(o, 0x82, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Request)
+	// string "customer"
+	o = append(o, 0xa8, 0x63, 0x75, 0x73, 0x74, 0x6f, 0x6d, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Customer)
 	return
 }
 
@@ -189,6 +192,12 @@
 				err = msgp.WrapError(err, "Request")
 				return
 			}
+		case "customer":
+			z.Customer, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Customer")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -203,7 +212,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Cancel) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Request)
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Request) + 9 + msgp.StringPrefixSize + len(z.Customer)
 	return
 }
 
