Know the other entries from the start, and end callers that do not read

Cause: under the race detector TestCancelThroughTheOtherEntry got a 404 (' != not-run'): for the first half second an entry had no connection to its peers, as the loop that calls them could run before the one that read the settings, and a look-up asked connected peers only. Found by reading: a caller that does not take its answer held its connection and handler for ever. Ruled out: a lost cancellation; the request was still queued at its entry.

--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -92,6 +92,9 @@
 		seen:     make(map[string]time.Time),
 		versions: make(map[string]versions),
 	}
+	for _, addr := range cfg.Peers {
+		e.known[addr] = &knownEntry{seed: true}
+	}
 	e.pool = agent.NewPool(agent.Config{
 		Local: wire.Hello{
 			Role:        wire.RoleEntry,
--- a/io/caller/http.go
+++ b/io/caller/http.go
@@ -31,6 +31,7 @@
 	maxKey      = 255                    // bytes of an idempotency key
 	replyMargin = 700 * time.Millisecond // beyond the deadline, for an outcome
 	retryAfter  = 1                      // seconds
+	writeLimit  = 30 * time.Second       // for a caller to take its answer
 )
 
 // Register adds the callers' and the operators' paths to mux.
@@ -251,10 +252,18 @@
 		h.Set("Content-Type", result.ContentType)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(result.Body)))
+	limitWrite(w, writeLimit)
 	w.WriteHeader(result.Status)
 	_, _ = w.Write(result.Body)
 }
 
+// limitWrite ends the connection of a caller that does not take its answer
+// within the limit.
+func limitWrite(w http.ResponseWriter, limit time.Duration) {
+	// A writer without deadlines is that of a test.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(limit))
+}
+
 func outcomeStatus(result *wire.Result) int {
 	switch {
 	case result.Outcome == wire.Unknown:
@@ -268,10 +277,13 @@
 	}
 }
 
-// Handler wraps h with the limits on requests' heads and bodies that hold
-// before a customer is known.
+// Handler wraps h with the limit on bodies that holds before a customer is
+// known. The write deadline of an earlier answer on the connection is lifted.
 func Handler(h http.Handler) http.Handler {
-	return http.MaxBytesHandler(h, maxAnyBody)
+	return http.MaxBytesHandler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
+		h.ServeHTTP(w, r)
+	}), maxAnyBody)
 }
 
 const maxAnyBody = 16 << 20 // bytes
--- a/io/caller/lookup.go
+++ b/io/caller/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -74,7 +75,7 @@
 
 // askOwner asks the entry that took the request in; nil if it does not answer.
 func (e *Entry) askOwner(ctx context.Context, id string, m wire.Message) *wire.Result {
-	addr, ok := e.peers.Named(ownerOf(id))
+	addr, ok := e.owner(id)
 	if !ok {
 		return nil
 	}
@@ -85,6 +86,19 @@
 	return knownResult(reply)
 }
 
+// owner returns the control address of the entry that took the request in. An
+// entry that is not connected yet, as after a start, is connected to first.
+func (e *Entry) owner(id string) (netip.AddrPort, bool) {
+	name := ownerOf(id)
+	if addr, ok := e.peers.Named(name); ok {
+		return addr, true
+	}
+	for _, addr := range e.entries()[1:] {
+		e.askPeer(addr)
+	}
+	return e.peers.Named(name)
+}
+
 // ownerOf returns the entry's name in a request id, which ends in the entry's
 // incarnation and a number.
 func ownerOf(id string) string {
--- a/io/caller/registry.go
+++ b/io/caller/registry.go
@@ -41,11 +41,6 @@
 
 // registryLoop keeps the entry's own row fresh and follows the others'.
 func (e *Entry) registryLoop() {
-	e.mu.Lock()
-	for _, addr := range e.cfg.Peers {
-		e.known[addr] = &knownEntry{seed: true}
-	}
-	e.mu.Unlock()
 	e.poll(registryInterval, func() {
 		e.writeRegistry()
 		e.readRegistry()
--- a/io/caller/registry_test.go
+++ b/io/caller/registry_test.go
@@ -14,9 +14,10 @@
 	"bramleythread/io/platform"
 )
 
-func newTestEntry(t *testing.T, store platform.Store) *Entry {
+func newTestEntry(t *testing.T, store platform.Store, peers ...netip.AddrPort) *Entry {
 	t.Helper()
 	e := New(Config{
+		Peers:   peers,
 		Name:    "test",
 		Control: netip.MustParseAddrPort("127.0.0.1:1"),
 		Store:   store,
@@ -52,6 +53,13 @@
 	is.Equal(len(left), 0)
 }
 
+func TestSeedsAreKnownFromTheStart(t *testing.T) {
+	is := is.New(t)
+	peer := netip.MustParseAddrPort("127.0.0.3:1")
+	e := newTestEntry(t, platform.NewStandin().Store(), peer)
+	is.Equal(e.entries()[1:], []netip.AddrPort{peer})
+}
+
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
 	var b budget
