--- a/core/trace/generate.go
+++ b/core/trace/generate.go
@@ -44,8 +44,8 @@
 	median  time.Duration // of the true run time
 	spread  float64       // standard deviation of its logarithm
 	timeout time.Duration
-	rate    float64 // requests a second outside of swings
-	swing   float64 // factor of the rate during a swing
+	rate    float64 // requests a second outside of surges
+	surge   float64 // factor of the rate during a surge
 	strange bool    // some are stragglers
 	fails   bool    // on every worker: the jobs can never run
 }
@@ -87,11 +87,11 @@
 		weights:    []float64{5, 3, 1, 1},
 		guarantees: []string{"airport small 10", "campus small 6", "offices small 2", "training small 2", "training rack 1"},
 		loads: []load{
-			{service: "podcheck", class: Urgent, shape: "small", once: true, urgent: true, median: 1500 * time.Millisecond, spread: 0.4, timeout: 30 * time.Second, rate: 2, swing: 3},
-			{service: "preview", class: Short, shape: "small", median: time.Second, spread: 0.6, timeout: 60 * time.Second, rate: 5, swing: 4, strange: true},
-			{service: "audit", class: Long, shape: "quad", median: 90 * time.Second, spread: 0.8, timeout: 40 * time.Minute, rate: 0.03, swing: 3},
-			{service: "train", class: Gang, shape: "rack", median: 100 * time.Second, spread: 0.6, timeout: time.Hour, rate: 0.006, swing: 2},
-			{service: "never", shape: "small", median: time.Second, spread: 0.1, timeout: 5 * time.Minute, rate: 0.05, swing: 1, fails: true},
+			{service: "podcheck", class: Urgent, shape: "small", once: true, urgent: true, median: 1500 * time.Millisecond, spread: 0.4, timeout: 30 * time.Second, rate: 2, surge: 3},
+			{service: "preview", class: Short, shape: "small", median: time.Second, spread: 0.6, timeout: 60 * time.Second, rate: 5, surge: 4, strange: true},
+			{service: "audit", class: Long, shape: "quad", median: 90 * time.Second, spread: 0.8, timeout: 40 * time.Minute, rate: 0.03, surge: 3},
+			{service: "train", class: Gang, shape: "rack", median: 100 * time.Second, spread: 0.6, timeout: time.Hour, rate: 0.006, surge: 2},
+			{service: "never", shape: "small", median: time.Second, spread: 0.1, timeout: 5 * time.Minute, rate: 0.05, surge: 1, fails: true},
 		},
 	},
 	"chaophraya": {
@@ -103,11 +103,11 @@
 		weights:    []float64{4, 2, 1, 4},
 		guarantees: []string{"delta rack 1", "ferry small 4", "harbour small 4", "upriver small 8"},
 		loads: []load{
-			{service: "slotswap", class: Urgent, shape: "small", once: true, urgent: true, median: 800 * time.Millisecond, spread: 0.3, timeout: 30 * time.Second, rate: 1, swing: 3},
-			{service: "tidecheck", class: Short, shape: "small", median: 500 * time.Millisecond, spread: 0.5, timeout: 10 * time.Second, rate: 12, swing: 5, strange: true},
-			{service: "berthplan", class: Gang, shape: "rack", median: 12 * time.Second, spread: 0.4, timeout: 5 * time.Minute, rate: 0.03, swing: 3},
-			{service: "survey", class: Long, shape: "pair", median: 40 * time.Second, spread: 0.8, timeout: 30 * time.Minute, rate: 0.12, swing: 2},
-			{service: "never", shape: "small", median: time.Second, spread: 0.1, timeout: 5 * time.Minute, rate: 0.05, swing: 1, fails: true},
+			{service: "slotswap", class: Urgent, shape: "small", once: true, urgent: true, median: 800 * time.Millisecond, spread: 0.3, timeout: 30 * time.Second, rate: 1, surge: 3},
+			{service: "tidecheck", class: Short, shape: "small", median: 500 * time.Millisecond, spread: 0.5, timeout: 10 * time.Second, rate: 12, surge: 5, strange: true},
+			{service: "berthplan", class: Gang, shape: "rack", median: 12 * time.Second, spread: 0.4, timeout: 5 * time.Minute, rate: 0.03, surge: 3},
+			{service: "survey", class: Long, shape: "pair", median: 40 * time.Second, spread: 0.8, timeout: 30 * time.Minute, rate: 0.12, surge: 2},
+			{service: "never", shape: "small", median: time.Second, spread: 0.1, timeout: 5 * time.Minute, rate: 0.05, surge: 1, fails: true},
 		},
 	},
 }
@@ -127,7 +127,7 @@
 same_rack = true
 `
 
-// Generate makes a workload of a deployment of the brief: swings within
+// Generate makes a workload of a known deployment: surges within
 // seconds, bursts, stragglers, wrong declarations, jobs that can never run,
 // waves of cancellations, failing workers, and the loss of a worker and of a zone.
 func Generate(name string, seed uint64, length time.Duration) (*Trace, error) {
@@ -149,7 +149,7 @@
 		g.t.Header.Classes[l.service] = l.class
 	}
 	g.workers()
-	g.swings()
+	g.drawSurges()
 	for _, l := range d.loads {
 		g.requests(l)
 	}
@@ -166,13 +166,13 @@
 	length time.Duration
 	rng    *rand.Rand
 	t      *Trace
-	peaks  []peak
+	surges []surge
 	names  []string
 	count  int
 }
 
-// peak is one swing of the demand.
-type peak struct {
+// surge is a time of high demand.
+type surge struct {
 	from, to time.Duration
 }
 
@@ -232,28 +232,28 @@
 	}
 }
 
-// swings draws the times at which the demand jumps within a second.
-func (g *generator) swings() {
+// drawSurges draws the times at which the demand jumps within a second.
+func (g *generator) drawSurges() {
 	for at := g.between(30*time.Second, 90*time.Second); at < g.length; {
 		end := at + g.between(10*time.Second, 40*time.Second)
-		g.peaks = append(g.peaks, peak{from: at, to: end})
+		g.surges = append(g.surges, surge{from: at, to: end})
 		at = end + g.between(60*time.Second, 150*time.Second)
 	}
 }
 
 func (g *generator) rate(l load, at time.Duration) float64 {
-	for _, p := range g.peaks {
+	for _, p := range g.surges {
 		if at >= p.from && at < p.to {
-			return l.rate * l.swing
+			return l.rate * l.surge
 		}
 	}
 	return l.rate
 }
 
 // requests draws the arrivals of one service as a Poisson process whose rate
-// follows the swings, with bursts of several requests at once.
+// follows the surges, with bursts of several requests at once.
 func (g *generator) requests(l load) {
-	top := l.rate * l.swing
+	top := l.rate * l.surge
 	for at := time.Duration(0); ; {
 		at += time.Duration(g.rng.ExpFloat64() / top * float64(time.Second))
 		if at >= g.length {
--- a/core/trace/measure.go
+++ b/core/trace/measure.go
@@ -12,23 +12,23 @@
 	"bramleythread/core/schedule"
 )
 
-// Windows of the measure of the crest.
+// Windows of the measure of service at peak load.
 const (
-	crestWindow = 10 * time.Second
-	crestShare  = 0.1 // of the windows, those with the most offered load
+	peakWindow = 10 * time.Second
+	peakShare  = 0.1 // of the windows, those with the most offered load
 )
 
 // Names of the measures. The time measures are in seconds.
 const (
-	measureUrgentMax  = "urgent_start_max"
-	measureFragment   = "fragmentation"
-	measureCrest      = "crest_answered"
-	measureCrestBound = "crest_of_bound"
-	measureFairness   = "fairness"
-	measureStarved    = "starved_customers"
-	measureLost       = "lost_work"
-	measurePreempted  = "preemptions"
-	measureOpen       = "open_jobs"
+	measureUrgentMax = "urgent_start_max"
+	measureFragment  = "fragmentation"
+	measurePeak      = "peak_answered"
+	measurePeakBound = "peak_of_bound"
+	measureFairness  = "fairness"
+	measureStarved   = "starved_customers"
+	measureLost      = "lost_work"
+	measurePreempted = "preemptions"
+	measureOpen      = "open_jobs"
 )
 
 // Result is the measures of one replay by name, such as "short_slowdown_p99".
@@ -101,7 +101,7 @@
 	for _, c := range []Class{Short, Long, Gang, Urgent} {
 		w.measureClass(r, c)
 	}
-	w.measureCrest(r)
+	w.measurePeak(r)
 	r.Measures[measureFragment] = w.meter.fragment / math.Max(w.meter.fragmented.Seconds(), 1e-9)
 	r.Measures[measureLost] = w.meter.lost.Seconds()
 	r.Measures[measurePreempted] = float64(w.meter.preemptions)
@@ -167,21 +167,21 @@
 	return longest.Seconds()
 }
 
-// window is the load that was offered in one crestWindow.
+// window is the load that was offered in one peakWindow.
 type window struct {
 	load float64 // accelerator-seconds
 	jobs []*job
 }
 
-// measureCrest measures the jobs that arrived in the windows with the most
+// measurePeak measures the jobs that arrived in the windows with the most
 // offered load.
-func (w *world) measureCrest(r *Result) {
+func (w *world) measurePeak(r *Result) {
 	windows := make(map[int64]*window)
 	for _, j := range w.order {
 		if j.outcome == outcomeCancelled {
 			continue
 		}
-		k := int64(j.arrived.Sub(epoch) / crestWindow)
+		k := int64(j.arrived.Sub(epoch) / peakWindow)
 		x := windows[k]
 		if x == nil {
 			x = &window{}
@@ -197,7 +197,7 @@
 	slices.SortFunc(sorted, func(a, b *window) int {
 		return cmp.Or(cmp.Compare(b.load, a.load), a.jobs[0].arrived.Compare(b.jobs[0].arrived))
 	})
-	n := int(math.Ceil(crestShare * float64(len(sorted))))
+	n := int(math.Ceil(peakShare * float64(len(sorted))))
 	answered, total, bound := 0, 0, 0
 	in, all := make(map[string]int), make(map[string]int)
 	for _, x := range sorted[:n] {
@@ -211,8 +211,8 @@
 		}
 		bound += w.bound(x)
 	}
-	r.Measures[measureCrest] = ratio(answered, total)
-	r.Measures[measureCrestBound] = ratio(answered, max(bound, answered))
+	r.Measures[measurePeak] = ratio(answered, total)
+	r.Measures[measurePeakBound] = ratio(answered, max(bound, answered))
 	r.Measures[measureFairness] = jain(in, all)
 	r.Measures[measureStarved] = starved(in, all)
 }
--- a/io/caller/metrics.go
+++ b/io/caller/metrics.go
@@ -47,7 +47,7 @@
 			Help:    "Time from a request's arrival to each placement: head-of-line blocking shows in short services.",
 			Buckets: secondsBuckets,
 		}, []string{"service"}),
-		inTime:   vec("bramleythread_answered_total", "Requests that have ended, by whether they ran within their deadline: service at the crest.", "customer", "in_time"),
+		inTime:   vec("bramleythread_answered_total", "Requests that have ended, by whether they ran within their deadline: service at peak load.", "customer", "in_time"),
 		accepted: vec("bramleythread_requests_total", "Requests accepted.", "customer", "service"),
 		rejected: vec("bramleythread_rejected_total", "Requests rejected on arrival, by reason.", "reason"),
 		refusals: vec("bramleythread_refusals_total", "Placements that an agent refused, by reason.", "reason"),
--- a/io/entry/claim.go
+++ b/io/entry/claim.go
@@ -13,9 +13,9 @@
 	"bramleythread/io/wire"
 )
 
-// claimPatience is how long work keeps its slot while the store does not
+// claimTimeout is how long work keeps its slot while the store does not
 // answer; then the entry queues it again.
-const claimPatience = time.Second
+const claimTimeout = time.Second
 
 func tokenOf(name string, incarnation uint64, id worker.ID) string {
 	return fmt.Sprintf("%s/%d/%s/%d", name, incarnation, id.Request, id.Attempt)
@@ -27,7 +27,7 @@
 	if w.claimKey == "" {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(a.ctx, min(claimPatience, time.Until(w.deadline)))
+	ctx, cancel := context.WithTimeout(a.ctx, min(claimTimeout, time.Until(w.deadline)))
 	defer cancel()
 	checkpoint, err := a.claims.Take(ctx, w.claimKey, a.claimOf(w), a.gaveUp)
 	var held *platform.HeldError
@@ -95,7 +95,7 @@
 			select {
 			case <-a.ctx.Done():
 				return
-			case <-time.After(claimPatience):
+			case <-time.After(claimTimeout):
 			}
 			if time.Since(w.received) > a.cfg.Lifetime {
 				return
--- a/io/entry/result.go
+++ b/io/entry/result.go
@@ -115,7 +115,7 @@
 			select {
 			case <-a.ctx.Done():
 				return
-			case <-time.After(claimPatience):
+			case <-time.After(claimTimeout):
 			}
 		}
 	}()
--- a/io/operator/cmd_check.go
+++ b/io/operator/cmd_check.go
@@ -72,16 +72,22 @@
 	return cfg, p, err
 }
 
+// missingFaults makes one fault of all the missing homes of a guarantee.
 func missingFaults(sources []config.Source, missing []plan.Missing) error {
 	e := &config.FaultsError{}
-	for _, m := range missing {
+	for i := 0; i < len(missing); {
+		m, n := missing[i], 1
+		for i+n < len(missing) && missing[i+n].Customer == m.Customer && missing[i+n].Shape == m.Shape {
+			n++
+		}
+		i += n
 		name := fmt.Sprintf("guarantee %s %s", m.Customer, m.Shape)
 		file, line, _ := config.Place(sources, name)
 		e.Faults = append(e.Faults, config.Fault{
 			File:   file,
 			Line:   line,
 			Key:    name + ".count",
-			Reason: fmt.Sprintf("instance %d of shape %q does not fit on the racks beside the other guarantees", m.Instance+1, m.Shape),
+			Reason: fmt.Sprintf("%d of the shapes %q do not fit on the racks beside the other guarantees", n, m.Shape),
 		})
 	}
 	return e
--- a/io/operator/limits_test.go
+++ b/io/operator/limits_test.go
@@ -30,7 +30,7 @@
 	goleak.VerifyNone(t, ignore)
 }
 
-// residentLimit is the memory that the letter allows a node for control.
+// residentLimit is the memory that a node may use for control.
 const residentLimit = 128 << 20 // bytes
 
 // resident returns the resident memory of a child's process, in bytes.
--- a/tools/seeds/main.go
+++ b/tools/seeds/main.go
@@ -48,7 +48,7 @@
 		{"jobs without an outcome", own("open_jobs"), 0, true},
 	},
 	"chaophraya": {
-		{"crest answered / bound", own("crest_of_bound"), 0.98, false},
+		{"peak answered / bound", own("peak_of_bound"), 0.98, false},
 		{"gang wait mean / fcfs", over("gang_wait_mean"), 1.0 / 3, true},
 		{"gang wait p99 / fcfs", over("gang_wait_p99"), 1.0 / 3, true},
 		{"gang wait mean, s", own("gang_wait_mean"), 0, true},
