Cut the links between agents at steps of a gang

Change: agents reach each other through relays in TestGangFaults; three cases cut a member's link, both ways or one way, when it is parked or released.

--- a/io/operator/fleet_test.go
+++ b/io/operator/fleet_test.go
@@ -51,6 +51,7 @@
 	step      func(f *fleet, worker int, step upstream.Step, t upstream.Task)
 	errors    float64
 	ownRelays bool // entries are reached through relays that tests can cut
+	members   bool // agents reach each other through such relays
 	notice    time.Duration
 	drain     time.Duration // limit; 20 s if not set
 	calls     int           // of the entries' schedulers that are recorded
@@ -68,7 +69,8 @@
 	entries   []*child
 	agents    []*child
 	upstreams []*upstreamProcess
-	relays    []*relay
+	relays    []*relay // of the entries
+	links     []*relay // of the agents
 
 	mu      sync.Mutex
 	replies map[string][]reply // by customer, service and key
@@ -186,7 +188,12 @@
 func (f *fleet) addAgent(i int) {
 	c := f.newChild("agent", workerName(i))
 	f.agents = append(f.agents, c)
-	f.settings(c, fmt.Sprintf("name = %s\nzone = zone-%d\nrack = rack-%d", workerName(i), i/3, i/3), f.controls())
+	advertise := c.control
+	if f.cfg.members {
+		f.links = append(f.links, newRelay(f.t, c.control))
+		advertise = f.links[i].addr
+	}
+	f.settings(c, fmt.Sprintf("name = %s\nzone = zone-%d\nrack = rack-%d\nadvertise = %s", workerName(i), i/3, i/3, advertise), f.controls())
 }
 
 func workerName(i int) string { return fmt.Sprintf("worker-%d", i) }
@@ -297,7 +304,7 @@
 	for _, u := range f.upstreams {
 		u.kill()
 	}
-	for _, r := range f.relays {
+	for _, r := range append(append([]*relay{}, f.relays...), f.links...) {
 		r.close()
 	}
 	if f.web != nil {
--- a/io/operator/gang_test.go
+++ b/io/operator/gang_test.go
@@ -118,6 +118,9 @@
 		"entry killed when released":   {upstream.StepStarted, 1, "entry", syscall.SIGKILL},
 		"upstream gone when released":  {upstream.StepStarted, 1, "upstream", 0},
 		"upstream gone when parked":    {upstream.StepLoaded, 2, "upstream", 0},
+		"link cut when parked":         {upstream.StepLoaded, 1, "link", 0},
+		"link cut when released":       {upstream.StepStarted, 1, "link", 0},
+		"link cut one way":             {upstream.StepStarted, 2, "link back", 0},
 		"member stopped when released": {upstream.StepStarted, 1, "member", syscall.SIGTERM},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -125,7 +128,7 @@
 			is := is.New(t)
 			var once sync.Once
 			leads := make(chan int, 1) // the worker of rank 0, once it has loaded
-			f := startFleet(t, fleetConfig{entries: 2, workers: 6, customers: []string{"a"},
+			f := startFleet(t, fleetConfig{entries: 2, workers: 6, customers: []string{"a"}, members: true,
 				overlay: "[service train]\ntimeout = 30s\n",
 				step: func(f *fleet, worker int, step upstream.Step, task upstream.Task) {
 					if task.Service != "train" {
@@ -172,6 +175,12 @@
 	case "upstream":
 		go f.upstreams[member].kill()
 		return
+	case "link":
+		f.cutLink(member, relayCut)
+		return
+	case "link back":
+		f.cutLink(member, relayCutBack)
+		return
 	}
 	victim.signal(signal)
 	if signal == syscall.SIGSTOP {
@@ -179,6 +188,13 @@
 	}
 }
 
+// cutLink cuts the link by which a lead reaches a member, for longer than every
+// lease.
+func (f *fleet) cutLink(member int, mode int32) {
+	f.links[member].mode.Store(mode)
+	time.AfterFunc(4*time.Second, func() { f.links[member].mode.Store(relayOpen) })
+}
+
 // TestGangsFromTwoEntries has both entries want the same workers again and
 // again: none may wait for the other for ever.
 func TestGangsFromTwoEntries(t *testing.T) {
