Keep the relays' listeners of the tests open

A relay's address was taken from a listener that was closed and opened again; a child that another parallel case forks in between holds a copy of it until its exec. Ruled out: the system's processes; none had been started in that case. Change: relays listen once and keep the listener. No check or bound is changed. Addresses of child processes are still reserved by closing a listener; they bind some 10 ms later, after the copies are gone.

--- a/io/operator/fleet_test.go
+++ b/io/operator/fleet_test.go
@@ -94,6 +94,14 @@
 // newAddress returns an address on a loopback host of its own, with a port
 // from the kernel, so that it can be bound again after a restart.
 func newAddress(t testing.TB) netip.AddrPort {
+	t.Helper()
+	l := newListener(t)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// newListener listens on a loopback host of its own.
+func newListener(t testing.TB) net.Listener {
 	t.Helper()
 	n := lastHost.Add(1)
 	host := netip.AddrFrom4([4]byte{127, byte(10 + os.Getpid()%200), byte(n >> 8), byte(n)})
@@ -101,8 +109,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return l
 }
 
 func startFleet(t testing.TB, cfg fleetConfig) *fleet {
--- a/io/operator/relay_test.go
+++ b/io/operator/relay_test.go
@@ -28,12 +28,8 @@
 
 func newRelay(t testing.TB, target netip.AddrPort) *relay {
 	t.Helper()
-	addr := newAddress(t)
-	l, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{addr: addr, l: l, target: target}
+	l := newListener(t)
+	r := &relay{addr: l.Addr().(*net.TCPAddr).AddrPort(), l: l, target: target}
 	go r.accept()
 	return r
 }
@@ -94,10 +90,7 @@
 
 func newCutter(t testing.TB, target netip.AddrPort) *cutter {
 	t.Helper()
-	l, err := net.Listen("tcp", newAddress(t).String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := newListener(t)
 	t.Cleanup(func() { _ = l.Close() })
 	c := &cutter{addr: l.Addr().(*net.TCPAddr).AddrPort()}
 	go func() {
