--- /dev/null
+++ b/core/job/commit.go
@@ -0,0 +1,96 @@
+package job
+
+import (
+	"bramleythread/io/wire"
+)
+
+// maxRows bounds the rows of a batch. The users' store takes 100 entries in a
+// transaction, of which the scheduler's lease and conditions take some.
+const maxRows = 80
+
+// Batch is a set of changes that are to be written together.
+type Batch struct {
+	Progress []JobChange
+	Expired  []string // jobs whose rows are to be deleted
+}
+
+// JobChange is the new durable state of a job.
+type JobChange struct {
+	ID       string
+	Progress wire.JobProgress
+
+	job     *Job
+	changes uint64
+}
+
+// Flush returns the changes that are not written yet, or nil. The next call
+// must follow a Committed of this one's batch.
+func (e *Engine) Flush() *Batch {
+	if len(e.dirty) == 0 && len(e.expired) == 0 {
+		return nil
+	}
+	b := &Batch{}
+	n := min(len(e.dirty), maxRows)
+	for _, j := range e.dirty[:n] {
+		j.dirty = false
+		b.Progress = append(b.Progress, JobChange{ID: j.ID, Progress: j.progress(), job: j, changes: j.changes})
+	}
+	e.dirty = append([]*Job(nil), e.dirty[n:]...)
+	for len(e.expired) > 0 && n+2*len(b.Expired) < maxRows {
+		b.Expired = append(b.Expired, e.expired[0].ID)
+		e.expired = e.expired[1:]
+	}
+	return b
+}
+
+// Committed tells that a batch is written.
+func (e *Engine) Committed(b *Batch) {
+	for _, c := range b.Progress {
+		c.job.written = c.changes
+		c.job.shown = c.Progress.State
+	}
+	for _, w := range e.workers {
+		e.advanceAcks(w)
+		for _, r := range w.runs {
+			if r.phase == ordered {
+				w.dirty = true
+			}
+		}
+	}
+}
+
+// advanceAcks acknowledges the ends whose jobs' changes are written.
+func (e *Engine) advanceAcks(w *Worker) {
+	n := 0
+	for _, a := range w.acks {
+		if a.job != nil && a.job.written < a.change {
+			break
+		}
+		w.acked, w.dirty = a.number, true
+		n++
+	}
+	w.acks = w.acks[n:]
+}
+
+// progress returns the state of a job as it is to be written.
+func (j *Job) progress() wire.JobProgress {
+	p := wire.JobProgress{State: j.state}
+	if j.state.Final() && !j.active() {
+		return p
+	}
+	for _, s := range j.order {
+		sp := wire.StageProgress{Occurrence: s.key.occurrence, Step: s.key.step, Failures: s.failures}
+		for _, t := range s.tasks {
+			tp := wire.TaskProgress{Done: t.done, Run: t.number, Failures: t.failures}
+			if !t.done {
+				tp.Checkpoint = t.checkpoint
+			}
+			if t.run != nil {
+				tp.Node, tp.Instance, tp.Born = t.run.worker.Node, t.run.worker.Instance, t.run.worker.Born
+			}
+			sp.Tasks = append(sp.Tasks, tp)
+		}
+		p.Stages = append(p.Stages, sp)
+	}
+	return p
+}
--- /dev/null
+++ b/core/job/engine.go
@@ -0,0 +1,331 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bramleythread/io/wire"
+)
+
+// Config sets up an engine.
+type Config struct {
+	// LeaseLimit is the longest time for which a run may go on after its
+	// worker was last heard of by the scheduler.
+	LeaseLimit time.Duration
+
+	// Retention is the time for which an ended job is kept.
+	Retention time.Duration
+
+	// GangTimeout is the time for which a member of a gang waits for the others.
+	GangTimeout time.Duration
+
+	// RackFactor is how much longer work takes away from its data or, for a
+	// gang that wants one rack, on several.
+	RackFactor float64
+
+	// Reclaim is the time within which urgent work inside its customer's
+	// guarantee starts.
+	Reclaim time.Duration
+
+	// Decision is called for each decision on a job; it may be nil.
+	Decision func(d Decision)
+}
+
+// Decision is one decision on a job, for the log.
+type Decision struct {
+	What   string // such as place, preempt, end
+	Job    string
+	Task   wire.TaskID
+	Run    int
+	Worker string
+	Reason string
+	Age    time.Duration // since the job was accepted
+}
+
+// Engine is the state of the scheduler. It is not safe for concurrent use.
+type Engine struct {
+	cfg        Config
+	jobs       map[string]*Job
+	list       []*Job // in the order of acceptance
+	workers    map[string]*Worker
+	order      []*Worker // by rack and node
+	guaranteed map[string]int
+	dirty      []*Job
+	expired    []*Job // whose rows are to be deleted
+	learned    map[string]*runTimes
+	holding    map[*stage]struct{} // stages that hold room for themselves
+	inUse      map[string]int      // accelerators of urgent work, by customer
+	since      time.Time
+}
+
+// New returns an engine without jobs or workers. now is the time from which on
+// it hears of workers.
+func New(cfg Config, now time.Time) *Engine {
+	return &Engine{
+		cfg:        cfg,
+		jobs:       make(map[string]*Job),
+		workers:    make(map[string]*Worker),
+		guaranteed: make(map[string]int),
+		learned:    make(map[string]*runTimes),
+		inUse:      make(map[string]int),
+		holding:    make(map[*stage]struct{}),
+		since:      now,
+	}
+}
+
+// SetGuarantees replaces the accelerators that customers are guaranteed.
+func (e *Engine) SetGuarantees(accelerators map[string]int) { e.guaranteed = accelerators }
+
+// Submit adds an accepted job. A job that is known already is left as it is.
+func (e *Engine) Submit(j wire.Job, now time.Time) {
+	if _, ok := e.jobs[j.ID]; ok {
+		return
+	}
+	e.add(j, now)
+}
+
+func (e *Engine) add(row wire.Job, now time.Time) *Job {
+	j := &Job{Job: row, state: wire.JobQueued, shown: wire.JobQueued, stages: make(map[stageKey]*stage)}
+	e.jobs[row.ID] = j
+	e.list = append(e.list, j)
+	if row.Repeat == 0 {
+		e.open(j, 0, now)
+	}
+	return j
+}
+
+// Restore adds a job with the progress that an earlier scheduler recorded.
+func (e *Engine) Restore(row wire.Job, p *wire.JobProgress, now time.Time) {
+	j := e.add(row, now)
+	if p == nil {
+		return
+	}
+	j.state, j.shown, j.began = p.State, p.State, len(p.Stages) > 0
+	j.changes, j.written = 1, 1
+	for _, sp := range p.Stages {
+		e.restoreStage(j, sp, now)
+	}
+	if j.state.Final() {
+		j.ended = now
+		for _, s := range j.order {
+			for _, t := range s.tasks {
+				if t.run != nil {
+					e.stop(t.run, "job_ended")
+				}
+			}
+		}
+		return
+	}
+	for occurrence := range max(j.Repeat, 1) {
+		if j.stages[stageKey{occurrence, 0}] != nil {
+			e.open(j, occurrence, now)
+		}
+	}
+}
+
+func (e *Engine) restoreStage(j *Job, sp wire.StageProgress, now time.Time) {
+	key := stageKey{sp.Occurrence, sp.Step}
+	if sp.Step >= len(j.Steps) || len(sp.Tasks) != j.Steps[sp.Step].Count {
+		return
+	}
+	s := j.stages[key]
+	if s == nil {
+		s = newStage(j, key, now)
+	}
+	s.failures = sp.Failures
+	for i, tp := range sp.Tasks {
+		t := s.tasks[i]
+		t.number, t.failures, t.checkpoint = tp.Run, tp.Failures, tp.Checkpoint
+		j.began = j.began || tp.Run > 0
+		if tp.Done {
+			t.done = true
+			s.left--
+		}
+		if tp.Node != "" {
+			e.attach(t, e.absent(tp.Node, tp.Instance, tp.Born), tp.Run, now)
+		}
+	}
+}
+
+// absent returns the row of a worker that may run work and of which nothing is
+// known but its name.
+func (e *Engine) absent(node, instance string, born int64) *Worker {
+	w, ok := e.workers[node]
+	if ok && w.Instance == instance && w.Born == born {
+		return w
+	}
+	key := node
+	if ok {
+		key = node + " " + instance // an earlier lifetime beside the same agent
+		if w, ok = e.workers[key]; ok {
+			return w
+		}
+	}
+	w = newWorker(node, e.since.Add(e.cfg.LeaseLimit))
+	w.Instance, w.Born = instance, born
+	e.workers[key] = w
+	e.sortWorkers()
+	return w
+}
+
+func newWorker(node string, lostAt time.Time) *Worker {
+	return &Worker{
+		Node:   node,
+		lostAt: lostAt,
+		runs:   make(map[wire.TaskID]*run),
+		strays: make(map[wire.TaskRun]wire.Resources),
+	}
+}
+
+func (e *Engine) sortWorkers() {
+	e.order = e.order[:0]
+	for _, w := range e.workers {
+		e.order = append(e.order, w)
+	}
+	slices.SortFunc(e.order, func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Born, b.Born))
+	})
+}
+
+// open makes the stages of an occurrence whose steps before them are done.
+func (e *Engine) open(j *Job, occurrence int, now time.Time) {
+	for i := range j.Steps {
+		key := stageKey{occurrence, i}
+		if j.stages[key] != nil || !j.stepsDone(occurrence, j.Steps[i].After) {
+			continue
+		}
+		newStage(j, key, now)
+	}
+}
+
+func newStage(j *Job, key stageKey, now time.Time) *stage {
+	step := &j.Steps[key.step]
+	s := &stage{job: j, key: key, step: step, ready: now, left: step.Count}
+	for i := range step.Count {
+		s.tasks = append(s.tasks, &task{stage: s, index: i})
+	}
+	j.stages[key] = s
+	j.order = append(j.order, s)
+	return s
+}
+
+func (j *Job) stepsDone(occurrence int, steps []int) bool {
+	for _, i := range steps {
+		s := j.stages[stageKey{occurrence, i}]
+		if s == nil || s.left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Cancel ends a job on its caller's behalf.
+func (e *Engine) Cancel(id string, now time.Time) {
+	j, ok := e.jobs[id]
+	if !ok || j.state.Final() {
+		return
+	}
+	j.cancel = true
+	e.finish(j, wire.JobCancelled, "caller", now)
+}
+
+// finish gives a job its final state and stops what still runs.
+func (e *Engine) finish(j *Job, state wire.JobState, reason string, now time.Time) {
+	j.state, j.ended = state, now
+	for _, s := range j.order {
+		e.release(s)
+		for _, t := range s.tasks {
+			if t.run != nil {
+				e.stop(t.run, "job_"+string(state))
+			}
+		}
+	}
+	e.touch(j)
+	e.decide(Decision{What: "end", Job: j.ID, Reason: reason + ":" + string(state), Age: now.Sub(j.Accepted)})
+}
+
+// touch notes that the durable state of a job has changed.
+func (e *Engine) touch(j *Job) {
+	j.changes++
+	if !j.dirty {
+		j.dirty = true
+		e.dirty = append(e.dirty, j)
+	}
+}
+
+// stop orders the end of a run.
+func (e *Engine) stop(r *run, cause string) {
+	if r.phase == stopping {
+		return
+	}
+	r.phase, r.cause = stopping, cause
+	r.worker.dirty = true
+}
+
+// stopWhole orders the end of a run, and of its gang with it: its other members
+// can do nothing without it.
+func (e *Engine) stopWhole(r *run, cause string) {
+	if !r.task.stage.step.Gang {
+		e.stop(r, cause)
+		return
+	}
+	for _, t := range r.task.stage.tasks {
+		if t.run != nil {
+			e.stop(t.run, cause)
+		}
+	}
+}
+
+// State returns the durable state of a job.
+func (e *Engine) State(id string) (queue string, state wire.JobState, ok bool) {
+	j, ok := e.jobs[id]
+	if !ok {
+		return "", "", false
+	}
+	state = j.shown
+	if state == wire.JobQueued && j.began && j.written > 0 {
+		state = wire.JobRunning
+	}
+	return j.Queue, state, true
+}
+
+// Pending returns the number of a queue's jobs of which nothing has started.
+func (e *Engine) Pending(queue string) int {
+	n := 0
+	for _, j := range e.list {
+		if j.Queue == queue && !j.state.Final() && !j.began {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Engine) decide(d Decision) {
+	if e.cfg.Decision != nil {
+		e.cfg.Decision(d)
+	}
+}
+
+// Expire forgets jobs that ended longer than the retention ago.
+func (e *Engine) Expire(now time.Time) {
+	kept := e.list[:0]
+	for _, j := range e.list {
+		if j.state.Final() && now.Sub(j.ended) > e.cfg.Retention && !j.dirty && !j.active() {
+			delete(e.jobs, j.ID)
+			e.expired = append(e.expired, j)
+			continue
+		}
+		kept = append(kept, j)
+	}
+	e.list = kept
+}
+
+func (j *Job) active() bool {
+	for _, s := range j.order {
+		if s.active > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/job/orders.go
@@ -0,0 +1,42 @@
+package job
+
+import (
+	"bramleythread/io/wire"
+)
+
+// TakeChanged returns the nodes of the workers whose orders have changed since
+// the last call.
+func (e *Engine) TakeChanged() []string {
+	var nodes []string
+	for _, w := range e.order {
+		if w.dirty && w.known {
+			w.dirty = false
+			nodes = append(nodes, w.Node)
+		}
+	}
+	return nodes
+}
+
+// Orders returns the standing orders to the agent of a node: all durable runs
+// that its worker does not list yet, and all runs that must end.
+func (e *Engine) Orders(node string) (wire.WorkerOrders, bool) {
+	w, ok := e.workers[node]
+	if !ok || !w.known {
+		return wire.WorkerOrders{}, false
+	}
+	o := wire.WorkerOrders{Instance: w.Instance, Born: w.Born, Acked: w.acked}
+	for id, r := range w.runs {
+		switch {
+		case r.phase == stopping && r.durable():
+			o.Stops = append(o.Stops, wire.TaskRun{Task: id, Run: r.number})
+		case r.phase == ordered && r.durable() && w.State == wire.WorkerReady:
+			o.Starts = append(o.Starts, wire.StartTask{Task: id, Run: r.number, Spec: r.task.stage.job.Spec, Checkpoint: r.task.checkpoint})
+		}
+	}
+	for stray := range w.strays {
+		if r := w.runs[stray.Task]; r == nil || r.number != stray.Run {
+			o.Stops = append(o.Stops, stray)
+		}
+	}
+	return o, true
+}
--- /dev/null
+++ b/core/job/reclaim.go
@@ -0,0 +1,170 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bramleythread/io/wire"
+)
+
+// holdTime is how long room is held for a stage whose way is being cleared:
+// the longest stop of the users' workers and a few round trips.
+const holdTime = 2 * time.Second
+
+// victim is a run that may be stopped for more urgent work, with the work in
+// core-seconds that is lost by it.
+type victim struct {
+	r    *run
+	lost float64
+}
+
+// clearing is a way to make room: the workers to use, and what to stop there.
+type clearing struct {
+	use     map[*Worker]int
+	victims []*run
+	lost    float64
+}
+
+// reclaim makes room for urgent work by stopping the runs of lower priority
+// that lose the least. The room is held until they are gone.
+func (e *Engine) reclaim(s *stage, tasks []*task, now time.Time) {
+	best := e.cheapest(s, len(tasks), now)
+	if best == nil {
+		return
+	}
+	for _, r := range best.victims {
+		e.preempt(r, s, now)
+	}
+	e.hold(s, best.use, now.Add(holdTime))
+}
+
+func (e *Engine) preempt(r *run, by *stage, now time.Time) {
+	e.decide(Decision{What: "preempt", Job: r.task.stage.job.ID, Task: r.task.id(), Run: r.number, Worker: r.worker.Node, Reason: "for_job:" + by.job.ID, Age: now.Sub(r.placed)})
+	e.stopWhole(r, "preempted")
+}
+
+// cheapest returns the clearing that loses the least work, or nil.
+func (e *Engine) cheapest(s *stage, n int, now time.Time) *clearing {
+	var sets [][]*Worker
+	racks := make(map[string][]*Worker)
+	var names []string
+	for _, w := range e.order {
+		if !e.eligible(w, s, now) {
+			continue
+		}
+		if racks[w.Rack] == nil {
+			names = append(names, w.Rack)
+		}
+		racks[w.Rack] = append(racks[w.Rack], w)
+	}
+	if s.step.SameRack {
+		for _, name := range names {
+			if s.step.DataRack == "" || s.step.DataRack == name {
+				sets = append(sets, racks[name])
+			}
+		}
+	}
+	var all []*Worker
+	for _, name := range names {
+		all = append(all, racks[name]...)
+	}
+	var best *clearing
+	for _, set := range sets {
+		if c := e.clear(s, set, n, now); c != nil && (best == nil || c.lost < best.lost) {
+			best = c
+		}
+	}
+	if best == nil && (!s.step.SameRack || !e.couldBeNear(s, now)) {
+		best = e.clear(s, all, n, now)
+	}
+	return best
+}
+
+// clear returns what to stop on a set of workers to make room for n tasks, or
+// nil if that is not enough.
+func (e *Engine) clear(s *stage, set []*Worker, n int, now time.Time) *clearing {
+	type option struct {
+		w       *Worker
+		victims []*run
+		lost    float64
+	}
+	c := &clearing{use: make(map[*Worker]int)}
+	options := make(map[*Worker]option)
+	for len(c.use) <= len(set) && n > 0 {
+		// The next task goes where it costs least.
+		var best option
+		for _, w := range set {
+			d := times(demand(s.step), c.use[w]+1)
+			if s.step.Spread > 0 && c.use[w] >= e.spreadLeft(w, s) {
+				continue
+			}
+			victims, lost, ok := e.evict(w, s, d, now)
+			if ok && (best.w == nil || lost-options[w].lost < best.lost-options[best.w].lost) {
+				best = option{w: w, victims: victims, lost: lost}
+			}
+		}
+		if best.w == nil {
+			return nil
+		}
+		options[best.w] = best
+		c.use[best.w]++
+		n--
+	}
+	for _, w := range set {
+		c.victims = append(c.victims, options[w].victims...)
+		c.lost += options[w].lost
+	}
+	return c
+}
+
+// evict returns the runs to stop on a worker so that it has room for d.
+func (e *Engine) evict(w *Worker, s *stage, d wire.Resources, now time.Time) ([]*run, float64, bool) {
+	free := e.free(w, s)
+	var victims []victim
+	for _, r := range w.runs {
+		if r.phase == stopping {
+			free = add(free, demand(r.task.stage.step)) // gone soon
+			continue
+		}
+		if r.task.stage.job.Priority > s.job.Priority {
+			victims = append(victims, victim{r: r, lost: e.lost(r, now)})
+		}
+	}
+	slices.SortFunc(victims, func(a, b victim) int {
+		return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.r.task.id().Job, b.r.task.id().Job), cmp.Compare(a.r.task.index, b.r.task.index))
+	})
+	var chosen []*run
+	var lost float64
+	for _, v := range victims {
+		if fits(free, d) > 0 {
+			break
+		}
+		free = add(free, demand(v.r.task.stage.step))
+		chosen, lost = append(chosen, v.r), lost+v.lost
+	}
+	return chosen, lost, fits(free, d) > 0
+}
+
+// restartLoss is the work in seconds that any restart costs: a checkpoint's
+// restore and the way through the table.
+const restartLoss = 0.5
+
+// lost returns the core-seconds that are lost if a run is stopped. The members
+// of a gang are lost together.
+func (e *Engine) lost(r *run, now time.Time) float64 {
+	s := r.task.stage
+	if r.began.IsZero() {
+		return restartLoss
+	}
+	since := r.began
+	if s.step.Checkpoints {
+		since = now // a stop saves
+	}
+	seconds := now.Sub(since).Seconds() + restartLoss
+	n := 1
+	if s.step.Gang {
+		n = s.step.Count
+	}
+	return seconds * cores(s.step.Demand) * float64(n)
+}
--- /dev/null
+++ b/core/job/report.go
@@ -0,0 +1,281 @@
+package job
+
+import (
+	"time"
+
+	"bramleythread/io/wire"
+)
+
+// Report takes in what an agent says of its worker. A report that a newer one
+// of the same lifetime has overtaken changes nothing; it returns false.
+func (e *Engine) Report(r *wire.WorkerReport, now time.Time) bool {
+	w := e.lifetime(r, now)
+	if w == nil || r.Sequence <= w.sequence {
+		return false
+	}
+	w.sequence, w.heard = r.Sequence, now
+	w.lostAt = now.Add(e.cfg.LeaseLimit)
+	if !w.known || w.Rack != r.Worker.Rack {
+		w.WorkerInfo, w.known = r.Worker, true
+		e.sortWorkers()
+	}
+	w.WorkerInfo = r.Worker
+	for _, end := range r.Ended {
+		e.takeEnd(w, end, now)
+	}
+	for _, refused := range r.Refused {
+		if run := w.runs[refused.Task]; run != nil && run.number == refused.Run {
+			e.end(run, wire.EndRefused, "", refused.Reason, now)
+			w.health.refused(now)
+		}
+	}
+	e.takeRunning(w, r.Running, now)
+	if w.State == wire.WorkerDraining {
+		e.drain(w)
+	}
+	if w.State == wire.WorkerGone {
+		e.lose(w, "worker_left", now)
+	}
+	e.advanceAcks(w)
+	return true
+}
+
+// drain stops what loses nothing by it, and what has not begun.
+func (e *Engine) drain(w *Worker) {
+	for _, r := range w.runs {
+		if r.phase == ordered || r.task.stage.step.Checkpoints || r.task.stage.step.LongRunning {
+			e.stopWhole(r, "worker_draining")
+		}
+	}
+}
+
+// NewLink tells that an agent has opened a new connection, on which the numbers
+// of its reports begin anew.
+func (e *Engine) NewLink(node string) {
+	if w, ok := e.workers[node]; ok {
+		w.sequence = 0
+	}
+}
+
+// lifetime returns the row of the lifetime that a report tells of. The lifetime
+// before it beside the same agent is over.
+func (e *Engine) lifetime(r *wire.WorkerReport, now time.Time) *Worker {
+	w, ok := e.workers[r.Node]
+	if ok && w.Instance == r.Worker.Instance && w.Born == r.Worker.Born {
+		return w
+	}
+	if ok && w.Born > r.Worker.Born {
+		return nil // a late report of an earlier lifetime
+	}
+	for key, old := range e.workers {
+		if old.Node == r.Node {
+			e.lose(old, "worker_replaced", now)
+			delete(e.workers, key)
+		}
+	}
+	w = newWorker(r.Node, now.Add(e.cfg.LeaseLimit))
+	w.WorkerInfo = r.Worker
+	e.workers[r.Node] = w
+	e.sortWorkers()
+	return w
+}
+
+// lose ends the runs of a worker that is certain to run nothing any more.
+func (e *Engine) lose(w *Worker, reason string, now time.Time) {
+	for _, r := range w.runs {
+		e.end(r, wire.EndCrashed, "", reason, now)
+	}
+	clear(w.strays)
+	w.acks = nil
+}
+
+// takeEnd takes in one end. It is acknowledged once its effect is durable.
+func (e *Engine) takeEnd(w *Worker, end wire.EndedRun, now time.Time) {
+	if end.Number <= w.seenEnd {
+		return
+	}
+	w.seenEnd = end.Number
+	delete(w.strays, wire.TaskRun{Task: end.Task, Run: end.Run})
+	r := w.runs[end.Task]
+	if r == nil || r.number != end.Run {
+		w.acks = append(w.acks, ack{number: end.Number})
+		return
+	}
+	j := r.task.stage.job
+	e.end(r, end.How, end.Checkpoint, string(end.How), now)
+	a := ack{number: end.Number}
+	if j.dirty {
+		a.job, a.change = j, j.changes
+	}
+	w.acks = append(w.acks, a)
+}
+
+// takeRunning compares what the worker runs with what it is to run.
+func (e *Engine) takeRunning(w *Worker, running []wire.RunningTask, now time.Time) {
+	clear(w.strays)
+	for _, t := range running {
+		r := w.runs[t.Task]
+		if r == nil || r.number != t.Run {
+			w.strays[wire.TaskRun{Task: t.Task, Run: t.Run}] = e.demandOf(t.Task)
+			w.dirty = true
+			continue
+		}
+		e.listed(r, t, now)
+	}
+}
+
+// listed takes in what a worker says of a run.
+func (e *Engine) listed(r *run, t wire.RunningTask, now time.Time) {
+	if r.began.IsZero() {
+		r.began, r.progress, r.saved = now, now, now
+	}
+	if r.phase == ordered {
+		r.phase = started
+		r.worker.dirty = true
+	}
+	if t.Percent != r.percent {
+		r.percent, r.progress = t.Percent, now
+	}
+	if t.Checkpoint != "" && t.Checkpoint != r.task.checkpoint {
+		r.task.checkpoint, r.saved = t.Checkpoint, now
+		if r.task.stage.step.Gang {
+			r.task.stage.share(t.Checkpoint)
+		}
+	}
+}
+
+// share gives all members of a gang the same checkpoint.
+func (s *stage) share(checkpoint string) {
+	for _, t := range s.tasks {
+		t.checkpoint = checkpoint
+	}
+}
+
+// demandOf returns what a task takes, nothing for one that is not known.
+func (e *Engine) demandOf(id wire.TaskID) wire.Resources {
+	if j, ok := e.jobs[id.Job]; ok && id.Step < len(j.Steps) {
+		return demand(&j.Steps[id.Step])
+	}
+	return wire.Resources{}
+}
+
+// attach records a run on a worker.
+func (e *Engine) attach(t *task, w *Worker, number int, now time.Time) *run {
+	s := t.stage
+	r := &run{task: t, number: number, worker: w, placed: now, change: s.job.changes}
+	t.run, t.number = r, number
+	w.runs[t.id()] = r
+	w.used = add(w.used, demand(s.step))
+	s.active++
+	if s.job.Priority == 0 {
+		e.inUse[s.job.Customer] += s.step.Demand.Accelerators
+	}
+	return r
+}
+
+// detach takes a run off its worker.
+func (e *Engine) detach(r *run) {
+	t, w, s := r.task, r.worker, r.task.stage
+	t.run = nil
+	delete(w.runs, t.id())
+	w.used = sub(w.used, demand(s.step))
+	w.dirty = true
+	s.active--
+	if s.job.Priority == 0 {
+		e.inUse[s.job.Customer] -= s.step.Demand.Accelerators
+	}
+}
+
+// end takes in the end of a run.
+func (e *Engine) end(r *run, how wire.RunEnd, checkpoint, reason string, now time.Time) {
+	t, s := r.task, r.task.stage
+	j := s.job
+	e.detach(r)
+	if checkpoint != "" {
+		t.checkpoint = checkpoint
+		if s.step.Gang {
+			s.share(checkpoint)
+		}
+	}
+	e.decide(Decision{What: "run_end", Job: j.ID, Task: t.id(), Run: r.number, Worker: r.worker.Node, Reason: reason, Age: now.Sub(j.Accepted)})
+	if j.state.Final() || t.done {
+		return
+	}
+	e.touch(j)
+	switch {
+	case how == wire.EndDone && !s.step.LongRunning:
+		e.learn(r, now)
+		r.worker.health.succeeded()
+		e.done(t, now)
+	case how == wire.EndFailed:
+		r.worker.health.failed(j.ID, now)
+		t.avoid = r.worker
+		e.failed(t, now)
+		if s.step.Gang && s.active > 0 {
+			e.stopRest(s)
+		}
+	case s.step.Gang && s.active > 0:
+		e.stopRest(s)
+	case how == wire.EndRefused:
+		s.retry = now.Add(refusedPause)
+	}
+}
+
+// stopRest stops what is left of a gang that has lost a member.
+func (e *Engine) stopRest(s *stage) {
+	for _, m := range s.tasks {
+		if m.run != nil {
+			e.stop(m.run, "gang_broken")
+		}
+	}
+}
+
+// refusedPause is the time before a stage is placed again after a worker has
+// refused a task of it: two round trips between zones, so that the worker's
+// next report is in.
+const refusedPause = 50 * time.Millisecond
+
+// done marks a task done; one end stands for all members of a gang.
+func (e *Engine) done(t *task, now time.Time) {
+	s := t.stage
+	for _, m := range s.tasks {
+		if (m == t || s.step.Gang) && !m.done {
+			m.done = true
+			s.left--
+		}
+	}
+	if s.left > 0 {
+		return
+	}
+	j := s.job
+	e.open(j, s.key.occurrence, now)
+	if j.complete() {
+		e.finish(j, wire.JobCompleted, "all_tasks_done", now)
+	}
+}
+
+// failed counts a failure of a task, or of its gang.
+func (e *Engine) failed(t *task, now time.Time) {
+	s := t.stage
+	failures := &t.failures
+	if s.step.Gang {
+		failures = &s.failures
+	}
+	*failures++
+	if *failures >= s.job.Attempts && !s.step.LongRunning {
+		e.finish(s.job, wire.JobFailed, "attempts_used", now)
+	}
+}
+
+// complete reports whether all steps of all occurrences are done.
+func (j *Job) complete() bool {
+	for occurrence := range max(j.Repeat, 1) {
+		for i := range j.Steps {
+			s := j.stages[stageKey{occurrence, i}]
+			if s == nil || s.left > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/job/validate.go
@@ -0,0 +1,71 @@
+package job
+
+import (
+	"fmt"
+
+	"bramleythread/io/wire"
+)
+
+// Limits of a job, as the users' platform states them, and of what the tables
+// can hold.
+const (
+	MaxSpec        = 4000 // bytes
+	MaxSteps       = 64
+	MaxTasks       = 2000 // of all steps of one occurrence
+	MaxOccurrences = 1000
+	maxAmount      = 1 << 30 // of any resource
+)
+
+// InvalidError tells why a job cannot be accepted.
+type InvalidError struct {
+	Field  string
+	Reason string
+}
+
+// Error describes the fault.
+func (e *InvalidError) Error() string { return e.Field + ": " + e.Reason }
+
+// Validate checks a job that a caller submits.
+func Validate(j *wire.Job) error {
+	switch {
+	case len(j.Spec) > MaxSpec:
+		return &InvalidError{Field: "spec", Reason: fmt.Sprintf("longer than %d bytes", MaxSpec)}
+	case len(j.Steps) == 0 || len(j.Steps) > MaxSteps:
+		return &InvalidError{Field: "steps", Reason: fmt.Sprintf("needs 1 to %d steps", MaxSteps)}
+	case j.Repeat < 0 || j.Repeat > MaxOccurrences:
+		return &InvalidError{Field: "repeat", Reason: fmt.Sprintf("needs 0 to %d", MaxOccurrences)}
+	case j.Interval < 0:
+		return &InvalidError{Field: "interval", Reason: "is negative"}
+	}
+	tasks := 0
+	for i := range j.Steps {
+		if err := validateStep(&j.Steps[i], i); err != nil {
+			return err
+		}
+		if tasks += j.Steps[i].Count; tasks > MaxTasks {
+			return &InvalidError{Field: "steps", Reason: fmt.Sprintf("have more than %d tasks", MaxTasks)}
+		}
+	}
+	return nil
+}
+
+func validateStep(s *wire.JobStep, i int) error {
+	field := fmt.Sprintf("steps[%d]", i)
+	if s.Count < 1 || s.Count > MaxTasks {
+		return &InvalidError{Field: field + ".count", Reason: fmt.Sprintf("needs 1 to %d tasks", MaxTasks)}
+	}
+	for _, n := range []int{s.Demand.CPU, s.Demand.Memory, s.Demand.Accelerators, s.Spread, s.MayMiss} {
+		if n < 0 || n > maxAmount {
+			return &InvalidError{Field: field, Reason: "has an amount out of range"}
+		}
+	}
+	if s.Estimate < 0 || s.Target < 0 {
+		return &InvalidError{Field: field, Reason: "has a negative time"}
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= i {
+			return &InvalidError{Field: field + ".after", Reason: "names no earlier step"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/caller/door.go
@@ -0,0 +1,85 @@
+package caller
+
+import (
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"bramleythread/core/job"
+)
+
+// tokenMargin is kept of the time for which a withdrawn token may be accepted:
+// a request takes some of it to be handled.
+const tokenMargin = time.Second
+
+// readyAge is the age of the configuration up to which an entry asks for
+// requests: one long poll and the time that a slow answer may take.
+const readyAge = catalogWait + catalogMargin
+
+// Door decides which requests are let in.
+type Door struct {
+	Catalog         *Catalog
+	RevocationLimit time.Duration // a withdrawn token may be accepted for so long
+	stopping        atomic.Bool
+}
+
+// Admission is a request that is let in.
+type Admission struct {
+	Queue    job.Queue
+	Version  uint64        // of the configuration that let it in
+	Age      time.Duration // of the knowledge that it is the newest
+	Customer string        // empty at a public queue without a token
+	Rest     string        // of the path, after the queue's prefix
+	Limit    int64         // bytes of the body
+}
+
+// StaleError tells that the configuration in force is not known.
+type StaleError struct{ Age time.Duration }
+
+// Error describes the error.
+func (e *StaleError) Error() string { return "the configuration in force is not known" }
+
+// TokenError tells that a token is not that of a customer.
+type TokenError struct{}
+
+// Error describes the error.
+func (e *TokenError) Error() string { return "the token is not that of a customer" }
+
+// QueueError tells that there is no such queue.
+type QueueError struct{ Path string }
+
+// Error describes the error.
+func (e *QueueError) Error() string { return "there is no queue at " + e.Path }
+
+// Open lets a request in. A token is honoured, and a queue or token said not to
+// exist, only while the configuration is known to be fresh.
+func (d *Door) Open(host, path, token string) (Admission, error) {
+	c, age := d.Catalog.Get()
+	if c == nil || age > d.RevocationLimit-tokenMargin {
+		return Admission{}, &StaleError{Age: age}
+	}
+	q := c.Route(host, path)
+	if q == nil {
+		return Admission{}, &QueueError{Path: path}
+	}
+	customer, known := c.Customer(token)
+	if !known && !q.Public {
+		return Admission{}, &TokenError{}
+	}
+	return Admission{
+		Queue: *q, Version: c.Version, Age: age, Customer: customer,
+		Rest: strings.TrimPrefix(path, q.Prefix), Limit: c.BodyLimit,
+	}, nil
+}
+
+// Stop makes the door ask for no more requests. It still lets in what comes.
+func (d *Door) Stop() { d.stopping.Store(true) }
+
+// Stopping reports whether Stop was called.
+func (d *Door) Stopping() bool { return d.stopping.Load() }
+
+// Ready reports whether the entry wants requests.
+func (d *Door) Ready() bool {
+	c, age := d.Catalog.Get()
+	return c != nil && age <= readyAge && !d.stopping.Load()
+}
--- /dev/null
+++ b/io/caller/jobs.go
@@ -0,0 +1,218 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"bramleythread/io/platform"
+	"bramleythread/io/scheduler"
+	"bramleythread/io/wire"
+
+	"github.com/rs/zerolog"
+)
+
+// Times of calls on a caller's behalf.
+const (
+	storeTry    = 900 * time.Millisecond // one try of a write, several answers of a slow store
+	tryPause    = 60 * time.Millisecond  // between tries
+	queryLimit  = 400 * time.Millisecond // for the scheduler's answer, several round trips between zones
+	refuseAfter = 300 * time.Millisecond // of tries that the store has turned away
+	busyRetry   = time.Second            // when the store turns a write away
+	answerSlack = 100 * time.Millisecond // kept of the caller's deadline for the answer's way back
+)
+
+// NotAcceptedError tells that a job was not accepted and never runs.
+type NotAcceptedError struct {
+	Reason string
+	Retry  time.Duration // when to come back
+}
+
+// Error describes the refusal.
+func (e *NotAcceptedError) Error() string { return "not accepted: " + e.Reason }
+
+// UnknownError tells that it is not known whether a change was made.
+type UnknownError struct {
+	Cause error
+}
+
+// Error describes the cause.
+func (e *UnknownError) Error() string { return fmt.Sprintf("outcome unknown: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// Jobs takes in durable jobs: a job is accepted once its row is written.
+type Jobs struct {
+	Store  platform.Store
+	Ask    func(ctx context.Context, m wire.Message) (wire.Message, error) // the scheduler
+	Log    zerolog.Logger
+	Decide func(what string) // counts a decision
+}
+
+// Submit stores a job. The same id again is the same job.
+func (s *Jobs) Submit(ctx context.Context, j wire.Job) error {
+	value, err := j.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	key := scheduler.TableJob + "/" + j.ID
+	start := time.Now()
+	known, err := s.write(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key}},
+		Writes:     []platform.Write{{Key: key, Value: value}},
+	})
+	outcome := "accepted"
+	switch {
+	case err != nil:
+		outcome = err.Error()
+	case known:
+		outcome = "known_already"
+	}
+	s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Int("steps", len(j.Steps)).
+		Dur("took", time.Since(start)).Str("outcome", outcome).Msg("submit")
+	return err
+}
+
+// write applies a transaction that inserts one row. known tells that the row
+// was there already. It tries until the context ends, since a try without an
+// answer may be applied later: only a further try can tell.
+func (s *Jobs) write(ctx context.Context, t platform.Txn) (known bool, err error) {
+	maybe := false
+	start := time.Now()
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, storeTry)
+		_, err = s.Store.Commit(callCtx, t)
+		cancel()
+		var conflict *platform.ConflictError
+		var unavailable *platform.UnavailableError
+		switch {
+		case err == nil:
+			return false, nil
+		case errors.As(err, &conflict):
+			return true, nil
+		case !errors.As(err, &unavailable):
+			return false, &UnknownError{Cause: err}
+		}
+		maybe = maybe || unavailable.MaybeApplied
+		if ctx.Err() != nil || !maybe && time.Since(start) > refuseAfter || !sleepUntil(ctx, tryPause) {
+			break
+		}
+	}
+	if maybe {
+		return false, &UnknownError{Cause: err}
+	}
+	return false, &NotAcceptedError{Reason: "store_unavailable", Retry: busyRetry}
+}
+
+// sleepUntil sleeps, and reports whether there is time for another try.
+func sleepUntil(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// State returns the state of a job of a queue, or ok false if no such job was
+// accepted. What the scheduler does not know is looked up in the table.
+func (s *Jobs) State(ctx context.Context, queue, id string) (state wire.JobState, ok bool, err error) {
+	a, err := s.ask(ctx, id)
+	if err == nil && a.Known {
+		return a.State, a.Queue == queue, nil
+	}
+	j, ok, err := s.lookUp(ctx, id)
+	if err != nil || !ok || j.Queue != queue {
+		return "", false, err
+	}
+	row, err := s.Store.Get(ctx, scheduler.TableProgress+"/"+id)
+	if err != nil || row.Revision == 0 {
+		return wire.JobQueued, err == nil, err
+	}
+	var p wire.JobProgress
+	if _, err := p.UnmarshalMsg(row.Value); err != nil {
+		return "", false, err
+	}
+	return p.State, true, nil
+}
+
+func (s *Jobs) ask(ctx context.Context, id string) (*wire.JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryLimit)
+	defer cancel()
+	m, err := s.Ask(ctx, &wire.JobQuery{ID: id})
+	if err != nil {
+		return nil, err
+	}
+	a, ok := m.(*wire.JobAnswer)
+	if !ok {
+		return nil, &wire.UnknownKindError{Kind: m.Kind()}
+	}
+	return a, nil
+}
+
+// lookUp reads a job's row, and tries again while there is time.
+func (s *Jobs) lookUp(ctx context.Context, id string) (wire.Job, bool, error) {
+	var j wire.Job
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, storeTry)
+		row, err := s.Store.Get(callCtx, scheduler.TableJob+"/"+id)
+		cancel()
+		if err == nil {
+			if row.Revision == 0 {
+				return j, false, nil
+			}
+			_, err = j.UnmarshalMsg(row.Value)
+			return j, err == nil, err
+		}
+		if !sleepUntil(ctx, tryPause) {
+			return j, false, err
+		}
+	}
+}
+
+// Cancel marks a job as cancelled. ok is false if no such job was accepted.
+func (s *Jobs) Cancel(ctx context.Context, queue, id string) (ok bool, err error) {
+	state, ok, err := s.State(ctx, queue, id)
+	if err != nil || !ok {
+		return ok, err
+	}
+	if !state.Final() {
+		key := scheduler.TableJob + "/" + id + scheduler.CancelSuffix
+		_, err = s.write(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: key}},
+			Writes:     []platform.Write{{Key: key, Value: []byte{1}}},
+		})
+	}
+	s.Log.Info().Str("job", id).Str("state", string(state)).Err(err).Msg("cancel")
+	return err == nil, err
+}
+
+// Pending returns the number of a queue's jobs of which nothing has started.
+func (s *Jobs) Pending(ctx context.Context, queue string) (int, error) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, queryLimit)
+		m, err := s.Ask(callCtx, &wire.QueueQuery{Queue: queue})
+		cancel()
+		if a, ok := m.(*wire.QueueAnswer); ok && err == nil {
+			return a.Pending, nil
+		}
+		if !sleepUntil(ctx, tryPause) {
+			return 0, &NotAcceptedError{Reason: "no_scheduler", Retry: busyRetry}
+		}
+	}
+}
+
+// Within returns a context that ends shortly before the caller gives up.
+func Within(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, max(limit-answerSlack, limit/2))
+}
+
+// validID reports whether an id is safe as a part of a row's key.
+func validID(id string) bool {
+	return id != "" && len(id) <= maxKey && !strings.ContainsAny(id, "./ ")
+}
--- a/io/frame/conn.go
+++ b/io/frame/conn.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -70,6 +71,10 @@
 	Local  wire.Hello // what this process says of itself
 	Key    []byte     // the shared key of the control connections
 	Handle func(ctx context.Context, c *Conn, m wire.Message) wire.Message
+
+	// Silence ends a connection on which nothing arrives, not even a
+	// keep-alive, for so long; ReadTimeout if it is 0.
+	Silence time.Duration
 }
 
 // Conn is one authenticated connection. Its methods may be called from any
@@ -237,7 +242,7 @@
 	defer c.wg.Done()
 	var buf []byte
 	for {
-		if err := c.nc.SetReadDeadline(time.Now().Add(ReadTimeout)); err != nil {
+		if err := c.nc.SetReadDeadline(time.Now().Add(cmp.Or(c.cfg.Silence, ReadTimeout))); err != nil {
 			c.fail(err)
 			return
 		}
--- a/io/operator/cmd_agent.go
+++ b/io/operator/cmd_agent.go
@@ -3,17 +3,25 @@
 import (
 	"bramleythread/core/config"
 	"bramleythread/io/platform"
+	adapter "bramleythread/platform"
+
+	"github.com/rs/zerolog"
 )
 
 var cmdAgent = &Command{
 	Name:        "agent",
 	Description: "Runs an agent beside its upstream",
-	Args:        "-settings FILE",
+	Args:        "-settings FILE | -boot",
 	Action: func(env Env, args []string) error {
-		s, err := roleSettings(env, "agent", config.RoleAgent, args)
+		s, boot, err := roleSettings(env, "agent", config.RoleAgent, args)
 		if err != nil {
 			return err
 		}
+		if boot {
+			return runOnPlatform(env, func(s *adapter.Settings, log zerolog.Logger) (process, error) {
+				return startJobAgent(s, log)
+			})
+		}
 		log := newLogger(env, s.Log.Level)
 		return runProcess(log, func() (process, error) {
 			c := platform.NewClient(s.Store)
--- a/io/operator/cmd_entry.go
+++ b/io/operator/cmd_entry.go
@@ -5,17 +5,25 @@
 
 	"bramleythread/core/config"
 	"bramleythread/io/platform"
+	adapter "bramleythread/platform"
+
+	"github.com/rs/zerolog"
 )
 
 var cmdEntry = &Command{
 	Name:        "entry",
 	Description: "Runs an entry: takes in callers' requests, queues and places them",
-	Args:        "-settings FILE",
+	Args:        "-settings FILE | -boot",
 	Action: func(env Env, args []string) error {
-		s, err := roleSettings(env, "entry", config.RoleEntry, args)
+		s, boot, err := roleSettings(env, "entry", config.RoleEntry, args)
 		if err != nil {
 			return err
 		}
+		if boot {
+			return runOnPlatform(env, func(s *adapter.Settings, log zerolog.Logger) (process, error) {
+				return startJobEntry(s, log)
+			})
+		}
 		log := newLogger(env, s.Log.Level)
 		return runProcess(log, func() (process, error) {
 			c := platform.NewClient(s.Store)
@@ -41,11 +49,17 @@
 }
 
 // roleSettings parses the arguments of a role's command.
-func roleSettings(env Env, name string, role config.Role, args []string) (*config.Settings, error) {
+// boot is true if the process is to run on the users' platform.
+func roleSettings(env Env, name string, role config.Role, args []string) (s *config.Settings, boot bool, err error) {
 	fs := cmdFlags(name, env)
 	file := fs.String("settings", "", "settings `FILE` of this process")
+	fs.BoolVar(&boot, "boot", false, "run on the users' platform, by the file that "+adapter.SettingsVariable+" names")
 	if err := parse(env, fs, args, 0); err != nil {
-		return nil, err
+		return nil, false, err
+	}
+	if boot {
+		return nil, true, nil
 	}
-	return loadSettings(role, *file)
+	s, err = loadSettings(role, *file)
+	return s, false, err
 }
--- /dev/null
+++ b/io/operator/process_platform.go
@@ -0,0 +1,186 @@
+package operator
+
+import (
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"bramleythread/core/job"
+	"bramleythread/io/caller"
+	"bramleythread/io/logfmt"
+	"bramleythread/io/scheduler"
+	"bramleythread/io/worker"
+	adapter "bramleythread/platform"
+)
+
+// Settings of the processes on the users' platform.
+const (
+	metricsPort  = 1 // after the first of the ports that the platform lends
+	memoryShare  = 0.8
+	drainNotice  = 2500 * time.Millisecond // two missed readiness probes, a second apart
+	drainLimit   = 2 * time.Second         // for requests in flight
+	retention    = 10 * time.Second        // beyond the time that the platform asks for
+	minRetention = 2 * time.Minute
+)
+
+// bootSettings reads the settings of the users' platform.
+func bootSettings(env Env) (*adapter.Settings, error) {
+	path := env.Getenv(adapter.SettingsVariable)
+	if path == "" {
+		return nil, &UsageError{Reason: adapter.SettingsVariable + " is not set"}
+	}
+	s, err := adapter.LoadSettings(path)
+	if err == nil && s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	return s, err
+}
+
+// runOnPlatform runs a role on the users' platform, with its log on standard
+// output.
+func runOnPlatform(env Env, start func(s *adapter.Settings, log zerolog.Logger) (process, error)) error {
+	s, err := bootSettings(env)
+	if err != nil {
+		return err
+	}
+	log := logfmt.New(env.Stdout, zerolog.InfoLevel, func(int) {})
+	return runProcess(log, func() (process, error) { return start(s, log.Logger) })
+}
+
+// jobEntry is an entry on the users' platform.
+type jobEntry struct {
+	door      *caller.Door
+	catalog   *caller.Catalog
+	candidate *scheduler.Candidate
+	web       []*webServer
+	callers   *webServer
+}
+
+func startJobEntry(s *adapter.Settings, log zerolog.Logger) (*jobEntry, error) {
+	store := adapter.NewStore(s.Store)
+	l, _, err := listen(s.Peers)
+	if err != nil {
+		return nil, eris.Wrap(err, "peers")
+	}
+	registry := newRegistry()
+	metrics := scheduler.NewMetrics(registry)
+	p := &jobEntry{}
+	p.catalog = caller.FollowCatalog(caller.CatalogConfig{
+		Store: store, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration,
+	})
+	p.door = &caller.Door{Catalog: p.catalog, RevocationLimit: s.RevocationLimit}
+	p.candidate = scheduler.Start(scheduler.Config{
+		Node: s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
+		Guarantees: p.catalog.Guarantees,
+		Engine: job.Config{
+			LeaseLimit:  scheduler.LeaseLimit,
+			Retention:   max(s.Retention, minRetention) + retention,
+			GangTimeout: s.GangTimeout,
+			RackFactor:  s.RackFactor,
+			Reclaim:     s.Reclaim,
+			Decision:    logDecision(log, metrics),
+		},
+	}, l)
+	ingress := &adapter.Ingress{Door: p.door, Log: log, Jobs: &caller.Jobs{Store: store, Ask: p.candidate.Ask, Log: log}}
+	mux := newMux(registry, p.door.Ready)
+	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !p.door.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	for _, v := range []struct {
+		addr netip.AddrPort
+		h    http.Handler
+		to   **webServer
+	}{
+		{s.Callers, ingress, &p.callers},
+		{s.Readiness, ready, nil},
+		{netip.AddrPortFrom(s.Address, s.Peers.Port()+metricsPort), mux, nil},
+	} {
+		web, err := serveHTTP(v.addr, v.h)
+		if err != nil {
+			p.kill()
+			return nil, eris.Wrapf(err, "listen on %s", v.addr)
+		}
+		if v.to != nil {
+			*v.to = web
+		}
+		p.web = append(p.web, web)
+	}
+	log.Info().Str("name", s.Node).Str("zone", s.Zone).Stringer("callers", s.Callers).Int("pid", os.Getpid()).Msg("entry_started")
+	return p, nil
+}
+
+// logDecision logs and counts the decisions of the scheduler.
+func logDecision(log zerolog.Logger, m *scheduler.Metrics) func(d job.Decision) {
+	return func(d job.Decision) {
+		m.Decided(d.What)
+		log.Info().Str("job", d.Job).Int("occurrence", d.Task.Occurrence).Int("step", d.Task.Step).Int("index", d.Task.Index).
+			Int("run", d.Run).Str("worker", d.Worker).Str("reason", d.Reason).Dur("age", d.Age).Msg(d.What)
+	}
+}
+
+// stop is the planned stop: another entry becomes the scheduler while this one
+// still answers, then callers go elsewhere.
+func (p *jobEntry) stop() {
+	p.door.Stop()
+	p.candidate.Close()
+	time.Sleep(drainNotice)
+	p.callers.shutdown(drainLimit)
+	p.kill()
+}
+
+func (p *jobEntry) kill() {
+	for _, w := range p.web {
+		_ = w.server.Close()
+	}
+	p.candidate.Close()
+	p.catalog.Close()
+}
+
+// jobAgent is an agent on the users' platform.
+type jobAgent struct {
+	agent *worker.Agent
+	web   []*webServer
+}
+
+func startJobAgent(s *adapter.Settings, log zerolog.Logger) (*jobAgent, error) {
+	registry := newRegistry()
+	p := &jobAgent{agent: worker.Start(worker.Config{
+		Node: s.Node, Zone: s.Zone, Store: adapter.NewStore(s.Store), Worker: adapter.NewWorker(s.Worker),
+		Log: log, Metrics: worker.NewMetrics(prometheus.WrapRegistererWith(nil, registry)),
+	})}
+	mux := newMux(registry, func() bool { return true })
+	for _, v := range []struct {
+		addr netip.AddrPort
+		h    http.Handler
+	}{
+		{s.Agent, adapter.AnnouncementHandler(p.agent, log)},
+		{netip.AddrPortFrom(s.Address, s.Peers.Port()+metricsPort), mux},
+	} {
+		web, err := serveHTTP(v.addr, v.h)
+		if err != nil {
+			p.kill()
+			return nil, eris.Wrapf(err, "listen on %s", v.addr)
+		}
+		p.web = append(p.web, web)
+	}
+	log.Info().Str("name", s.Node).Str("zone", s.Zone).Stringer("worker", s.Worker).Msg("agent_started")
+	return p, nil
+}
+
+// stop ends the agent at once: its worker's lease outlasts a restart.
+func (p *jobAgent) stop() { p.kill() }
+
+func (p *jobAgent) kill() {
+	for _, w := range p.web {
+		_ = w.server.Close()
+	}
+	p.agent.Close()
+}
--- a/io/platform/standin.go
+++ b/io/platform/standin.go
@@ -18,6 +18,8 @@
 	LostReplies int           `json:"lost_replies"` // this many commits take effect, then fail
 }
 
+const maxHistory = 10000 // changes
+
 var errOutage = errors.New("outage")
 
 var errLostReply = errors.New("reply lost")
@@ -28,6 +30,9 @@
 	mu       sync.Mutex
 	revision uint64
 	rows     map[string]Row
+	history  []Row         // changes since forgotten, in order
+	lost     uint64        // changes up to this revision are forgotten
+	changed  chan struct{} // closed at the next change
 	objects  map[string][]byte
 	faults   Faults
 	reads    int
@@ -36,7 +41,11 @@
 
 // NewStandin returns an empty platform.
 func NewStandin() *Standin {
-	return &Standin{rows: make(map[string]Row), objects: make(map[string][]byte)}
+	return &Standin{
+		rows:    make(map[string]Row),
+		objects: make(map[string][]byte),
+		changed: make(chan struct{}),
+	}
 }
 
 // SetFaults replaces the failures that the platform shows.
@@ -59,6 +68,7 @@
 		Get:       s.get,
 		Scan:      s.scan,
 		Commit:    s.commit,
+		Watch:     s.watch,
 		PutObject: s.putObject,
 		GetObject: s.getObject,
 	}
@@ -151,10 +161,74 @@
 	for _, w := range writes {
 		if w.Delete {
 			delete(s.rows, w.Key)
+			s.history = append(s.history, Row{Key: w.Key, Revision: s.revision, Deleted: true})
 			continue
 		}
-		s.rows[w.Key] = Row{Key: w.Key, Revision: s.revision, Value: slices.Clone(w.Value)}
+		row := Row{Key: w.Key, Revision: s.revision, Value: slices.Clone(w.Value)}
+		s.rows[w.Key] = row
+		s.history = append(s.history, row)
+	}
+	if n := len(s.history); n > maxHistory {
+		s.lost = s.history[n/2].Revision
+		s.history = slices.Clone(s.history[n/2+1:])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact forgets the history of all tables.
+func (s *Standin) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost, s.history = s.revision, nil
+}
+
+func (s *Standin) watch(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error) {
+	if err := s.admit(ctx, "watch"); err != nil {
+		return Changes{}, err
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		c, changed, err := s.changes(table, after)
+		if err != nil || after == 0 || len(c.Rows) > 0 {
+			return c, err
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return c, nil
+		case <-ctx.Done():
+			return Changes{}, &UnavailableError{Op: "watch", Cause: ctx.Err()}
+		}
+	}
+}
+
+// changes returns the rows of a table that changed after a revision, and a
+// channel that is closed at the next change of any table.
+func (s *Standin) changes(table string, after uint64) (Changes, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if after != 0 && after < s.lost {
+		return Changes{}, nil, &HistoryError{Table: table, After: after}
+	}
+	c := Changes{Revision: s.revision}
+	prefix := table + "/"
+	if after == 0 {
+		for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+			if strings.HasPrefix(key, prefix) {
+				c.Rows = append(c.Rows, s.rows[key])
+			}
+		}
+		return c, nil, nil
+	}
+	for _, row := range s.history {
+		if row.Revision > after && strings.HasPrefix(row.Key, prefix) {
+			c.Rows = append(c.Rows, row)
+		}
 	}
+	return c, s.changed, nil
 }
 
 func (s *Standin) putObject(ctx context.Context, key string, data []byte) error {
--- a/io/platform/store.go
+++ b/io/platform/store.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 )
 
 // Row is one row of the table. Revision is 0 for a row that does not exist and
@@ -16,6 +17,13 @@
 	Key      string `json:"key"`
 	Revision uint64 `json:"revision"`
 	Value    []byte `json:"value,omitempty"`
+	Deleted  bool   `json:"deleted,omitempty"` // in Changes only
+}
+
+// Changes are rows of a table as of Revision.
+type Changes struct {
+	Rows     []Row  `json:"rows"`
+	Revision uint64 `json:"revision"`
 }
 
 // Condition holds if the row's revision is Revision; 0 means absent.
@@ -39,9 +47,16 @@
 
 // Store is the platform as the system uses it.
 type Store struct {
-	Get       func(ctx context.Context, key string) (Row, error)
-	Scan      func(ctx context.Context, prefix string) ([]Row, error)
-	Commit    func(ctx context.Context, t Txn) (revision uint64, err error)
+	Get    func(ctx context.Context, key string) (Row, error)
+	Scan   func(ctx context.Context, prefix string) ([]Row, error)
+	Commit func(ctx context.Context, t Txn) (revision uint64, err error)
+
+	// Watch returns what has changed in a table, whose rows have keys
+	// TABLE/NAME, since revision after. It waits for a first change for the
+	// given time. After 0 it returns all rows at once. It fails with a
+	// HistoryError if the changes are no longer known.
+	Watch func(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
+
 	PutObject func(ctx context.Context, key string, data []byte) error
 	GetObject func(ctx context.Context, key string) ([]byte, error)
 }
@@ -83,3 +98,14 @@
 
 // Error describes the missing object.
 func (e *NotFoundError) Error() string { return "platform: no object " + e.Key }
+
+// HistoryError tells that the changes since a revision are no longer known.
+type HistoryError struct {
+	Table string
+	After uint64
+}
+
+// Error describes the lost history.
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("platform: changes of %s after %d are gone", e.Table, e.After)
+}
--- /dev/null
+++ b/io/scheduler/candidate.go
@@ -0,0 +1,225 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"bramleythread/core/job"
+	"bramleythread/io/frame"
+	"bramleythread/io/platform"
+	"bramleythread/io/wire"
+
+	"github.com/rs/zerolog"
+)
+
+// Config sets up a candidate.
+type Config struct {
+	Node    string
+	Address netip.AddrPort // of Listener, as agents and other entries reach it
+	Store   platform.Store
+	Log     zerolog.Logger
+	Engine  job.Config
+	Metrics *Metrics
+
+	// Guarantees returns the accelerators that customers are guaranteed.
+	Guarantees func() map[string]int
+}
+
+// Candidate is an entry that becomes the scheduler when there is none.
+type Candidate struct {
+	cfg  Config
+	key  []byte
+	link *Link
+
+	mu     sync.Mutex
+	holder *holder // while this process is the scheduler
+
+	stop     context.CancelFunc
+	done     chan struct{}
+	served   chan struct{}
+	listener net.Listener
+}
+
+// Start starts a candidate whose agents and entries connect to l.
+func Start(cfg Config, l net.Listener) *Candidate {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Candidate{
+		cfg: cfg, key: newKey(), stop: cancel,
+		done: make(chan struct{}), served: make(chan struct{}), listener: l,
+	}
+	c.link = NewLink(LinkConfig{
+		Local:  wire.Hello{Role: wire.RoleEntry, Name: cfg.Node, Address: cfg.Address},
+		Store:  cfg.Store,
+		Handle: func(context.Context, *frame.Conn, wire.Message) wire.Message { return nil },
+		Log:    cfg.Log,
+	})
+	go func() {
+		defer close(c.served)
+		frame.Serve(l, maxLinks, frame.Config{
+			Local:   wire.Hello{Role: wire.RoleEntry, Name: cfg.Node, Address: cfg.Address},
+			Key:     c.key,
+			Handle:  c.handle,
+			Silence: linkSilence,
+		}, c.accepted)
+	}()
+	go c.run(ctx)
+	return c
+}
+
+// maxLinks bounds the connections to a scheduler.
+const maxLinks = 2048
+
+// Close stops the candidate. A holder gives its lease up first.
+func (c *Candidate) Close() {
+	c.stop()
+	<-c.done
+	_ = c.listener.Close()
+	<-c.served
+}
+
+// Done is closed when the candidate has stopped.
+func (c *Candidate) Done() <-chan struct{} { return c.done }
+
+func (c *Candidate) current() *holder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder
+}
+
+func (c *Candidate) accepted(conn *frame.Conn) {
+	h := c.current()
+	if h == nil || !h.confirmed() {
+		conn.Close()
+		return
+	}
+	h.join(conn)
+}
+
+func (c *Candidate) handle(_ context.Context, conn *frame.Conn, m wire.Message) wire.Message {
+	h := c.current()
+	if h == nil {
+		conn.Close()
+		return nil
+	}
+	return h.handle(conn, m)
+}
+
+// watch is what a candidate has seen of the lease.
+type watch struct {
+	lease    wire.SchedulerLease
+	revision uint64
+	since    time.Time // when this revision was first seen
+}
+
+// run follows the lease, takes it when it is free and holds it.
+func (c *Candidate) run(ctx context.Context) {
+	defer close(c.done)
+	var seen watch
+	for ctx.Err() == nil {
+		c.step(ctx, &seen)
+	}
+	if conn := c.link.Conn(); conn != nil {
+		conn.Close()
+	}
+}
+
+func (c *Candidate) step(ctx context.Context, seen *watch) {
+	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+	lease, revision, err := readLease(callCtx, c.cfg.Store)
+	cancel()
+	if err != nil {
+		c.cfg.Log.Warn().Err(err).Msg("lease_not_read")
+		seen.since = time.Now() // the holder may have been as far from the store
+		_ = sleep(ctx, jitter(pollUnlinked))
+		return
+	}
+	now := time.Now()
+	if revision != seen.revision || seen.since.IsZero() {
+		*seen = watch{lease: lease, revision: revision, since: now}
+	}
+	free := revision == 0 || lease.Released || lease.Holder == c.cfg.Node
+	if free || now.Sub(seen.since) >= staleLimit {
+		c.take(ctx, *seen, free)
+		seen.since = time.Time{}
+		return
+	}
+	if c.link.Conn() == nil {
+		if _, err := c.link.dial(ctx, lease); err != nil {
+			c.cfg.Log.Debug().Err(err).Msg("scheduler_not_reached")
+			_ = sleep(ctx, jitter(pollUnlinked))
+			return
+		}
+	}
+	c.waitLinked(ctx)
+}
+
+// waitLinked waits until the lease is to be read again: soon if the link ends.
+func (c *Candidate) waitLinked(ctx context.Context) {
+	conn := c.link.Conn()
+	if conn == nil {
+		_ = sleep(ctx, jitter(pollUnlinked))
+		return
+	}
+	t := time.NewTimer(pollLinked)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-conn.Done():
+		_ = sleep(ctx, jitter(linkPause))
+	}
+}
+
+// take claims the lease and holds it until it is lost or given up.
+func (c *Candidate) take(ctx context.Context, seen watch, free bool) {
+	w := &writer{store: c.cfg.Store, lease: wire.SchedulerLease{Holder: c.cfg.Node, Address: c.cfg.Address, Key: c.key}}
+	if err := w.claim(ctx, seen.lease, seen.revision); err != nil {
+		c.cfg.Log.Info().Err(err).Msg("lease_not_taken")
+		return
+	}
+	c.cfg.Log.Info().Uint64("epoch", w.lease.Epoch).Str("former", seen.lease.Holder).Bool("free", free).Dur("age", time.Since(seen.since)).Msg("lease_taken")
+	if conn := c.link.Conn(); conn != nil {
+		conn.Close()
+	}
+	h := newHolder(c.cfg, w)
+	err := h.load(ctx)
+	if err == nil {
+		c.set(h)
+		err = h.run(ctx)
+		c.set(nil)
+	}
+	h.close()
+	var deposed *DeposedError
+	if !errors.As(err, &deposed) {
+		h.giveUp()
+	}
+	c.cfg.Log.Info().Uint64("epoch", w.lease.Epoch).Err(err).Msg("lease_ended")
+}
+
+func (c *Candidate) set(h *holder) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holder = h
+}
+
+// NoSchedulerError tells that no scheduler can be asked now.
+type NoSchedulerError struct{}
+
+// Error describes the error.
+func (e *NoSchedulerError) Error() string { return "scheduler: none is linked" }
+
+// Ask asks the scheduler, which may be this process.
+func (c *Candidate) Ask(ctx context.Context, m wire.Message) (wire.Message, error) {
+	if h := c.current(); h != nil {
+		return h.handle(nil, m), nil
+	}
+	conn := c.link.Conn()
+	if conn == nil {
+		return nil, &NoSchedulerError{}
+	}
+	return conn.Call(ctx, m)
+}
--- /dev/null
+++ b/io/scheduler/lease.go
@@ -0,0 +1,175 @@
+// Package scheduler keeps one scheduler for a pool of workers: who it is, what
+// it writes, and how agents and entries reach it.
+//
+// The row of its lease says who it is. The holder replaces that row in every
+// transaction, conditional on its version, so that transactions apply in one
+// order and none applies once another process has taken over.
+package scheduler
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"bramleythread/io/platform"
+	"bramleythread/io/wire"
+)
+
+// Tables and rows of the scheduler.
+const (
+	TableJob      = "job"      // accepted jobs, and marks of cancelled ones
+	TableProgress = "progress" // written by the scheduler alone
+	leaseKey      = "scheduler/lease"
+	CancelSuffix  = ".cancel" // after a job's key
+)
+
+// Times of the lease.
+const (
+	renewInterval = time.Second             // a third of what others wait for
+	staleLimit    = 2500 * time.Millisecond // unchanged for so long, the lease may be taken: two missed renewals
+	pollLinked    = 2 * time.Second         // while the scheduler answers
+	pollUnlinked  = 250 * time.Millisecond  // while it does not
+	commitTimeout = 1500 * time.Millisecond // several times an answer of a slow store
+	retryMin      = 50 * time.Millisecond   // after a refused transaction
+	retryMax      = 500 * time.Millisecond
+
+	// ConfirmLimit is the age of the last written lease up to which the
+	// holder grants agents the right to renew their workers' leases.
+	ConfirmLimit = 3 * time.Second
+
+	// GrantLimit is the time after its report for which an agent may renew.
+	// It spans a take-over.
+	GrantLimit = 4 * time.Second
+
+	// WorkerLease is the length of a worker's lease.
+	WorkerLease = 4 * time.Second
+)
+
+// LeaseLimit is the time after which a worker's lease has certainly lapsed,
+// counted from when the scheduler last heard of it. A former holder may have
+// granted for ConfirmLimit; the worker's clock may be 2% slow.
+const LeaseLimit = ConfirmLimit + GrantLimit + WorkerLease*102/100
+
+// DeposedError tells that another process has become the scheduler.
+type DeposedError struct {
+	Holder string
+	Epoch  uint64
+}
+
+// Error describes the new holder.
+func (e *DeposedError) Error() string {
+	return fmt.Sprintf("scheduler: deposed by %s in epoch %d", e.Holder, e.Epoch)
+}
+
+// readLease returns the row of the lease; its revision is 0 if there is none.
+func readLease(ctx context.Context, store platform.Store) (wire.SchedulerLease, uint64, error) {
+	row, err := store.Get(ctx, leaseKey)
+	if err != nil || row.Revision == 0 {
+		return wire.SchedulerLease{}, 0, err
+	}
+	l, err := decodeLease(row)
+	return l, row.Revision, err
+}
+
+func decodeLease(row platform.Row) (wire.SchedulerLease, error) {
+	var l wire.SchedulerLease
+	_, err := l.UnmarshalMsg(row.Value)
+	return l, err
+}
+
+// writer writes the holder's transactions one after another.
+type writer struct {
+	store     platform.Store
+	lease     wire.SchedulerLease
+	revision  uint64
+	confirmed time.Time // when the newest written transaction was sent
+}
+
+// claim makes this process the holder, in place of the row that was read.
+func (w *writer) claim(ctx context.Context, old wire.SchedulerLease, revision uint64) error {
+	w.lease.Epoch = old.Epoch + 1
+	w.lease.Sequence = 0
+	w.lease.Released = false
+	w.revision = revision
+	return w.write(ctx, nil)
+}
+
+// write applies the writes in one transaction. It retries until it knows that
+// they are applied, or that this process is deposed.
+func (w *writer) write(ctx context.Context, writes []platform.Write) error {
+	w.lease.Sequence++
+	value, err := w.lease.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+	t := platform.Txn{
+		Conditions: []platform.Condition{{Key: leaseKey, Revision: w.revision}},
+		Writes:     append([]platform.Write{{Key: leaseKey, Value: value}}, writes...),
+	}
+	pause := retryMin
+	for {
+		sent := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
+		revision, err := w.store.Commit(callCtx, t)
+		cancel()
+		if err == nil {
+			w.revision, w.confirmed = revision, sent
+			return nil
+		}
+		if done, err := w.resolve(err, sent); done {
+			return err
+		}
+		if err := sleep(ctx, jitter(pause)); err != nil {
+			return err
+		}
+		pause = min(2*pause, retryMax)
+	}
+}
+
+// resolve reports whether the outcome of a transaction is known: it was
+// applied by an earlier try whose answer was lost, or this process is deposed.
+func (w *writer) resolve(err error, sent time.Time) (bool, error) {
+	var conflict *platform.ConflictError
+	if !errors.As(err, &conflict) || len(conflict.Rows) == 0 {
+		return false, nil
+	}
+	row := conflict.Rows[0]
+	if row.Revision == 0 {
+		return true, &DeposedError{}
+	}
+	l, err := decodeLease(row)
+	if err != nil {
+		return true, err
+	}
+	if l.Holder == w.lease.Holder && l.Epoch == w.lease.Epoch && l.Sequence == w.lease.Sequence {
+		w.revision, w.confirmed = row.Revision, sent
+		return true, nil
+	}
+	return true, &DeposedError{Holder: l.Holder, Epoch: l.Epoch}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// jitter returns a time between half of d and d.
+func jitter(d time.Duration) time.Duration {
+	var b [1]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return d/2 + d/2*time.Duration(b[0])/256
+}
+
+func newKey() []byte {
+	key := make([]byte, 16)
+	_, _ = rand.Read(key) // never fails
+	return key
+}
--- /dev/null
+++ b/io/wire/job.go
@@ -0,0 +1,250 @@
+package wire
+
+import (
+	"net/netip"
+	"time"
+)
+
+//go:generate go tool msgp -file job.go -o job_gen.go -tests=false -io=false
+
+//msgp:limit arrays:65536 maps:256
+//msgp:shim netip.AddrPort as:string using:formatAddr/parseAddr mode:convert
+//msgp:shim JobState as:string using:string/JobState
+//msgp:shim WorkerState as:string using:string/WorkerState
+//msgp:shim RunEnd as:string using:string/RunEnd
+//msgp:tuple TaskID TaskRun Resources TaskProgress StageProgress RunningTask EndedRun RefusedRun
+
+// JobState is how far a job has come, as callers see it.
+type JobState string
+
+// States of a job. The last three are final.
+const (
+	JobQueued    JobState = "queued"
+	JobRunning   JobState = "running"
+	JobCompleted JobState = "completed"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+// Final reports whether the state never changes again.
+func (s JobState) Final() bool {
+	return s == JobCompleted || s == JobFailed || s == JobCancelled
+}
+
+// WorkerState is what a worker says of its own readiness.
+type WorkerState string
+
+// States of a worker. A worker that is gone never comes back under the same
+// instance.
+const (
+	WorkerReady    WorkerState = "ready"
+	WorkerDraining WorkerState = "draining"
+	WorkerGone     WorkerState = "gone"
+)
+
+// RunEnd is how a run of a task ended.
+type RunEnd string
+
+// Ends of a run.
+const (
+	EndDone    RunEnd = "done"
+	EndFailed  RunEnd = "failed"
+	EndStopped RunEnd = "stopped"
+	EndLapsed  RunEnd = "lapsed" // its lease ran out
+	EndBroken  RunEnd = "broken" // another member of its gang ended
+	EndAlone   RunEnd = "alone"  // the other members of its gang did not come in time
+	EndCrashed RunEnd = "crashed"
+	EndRefused RunEnd = "refused"
+)
+
+// Resources are amounts of a worker's resources. CPU is in thousandths of a
+// core, Memory in MiB.
+type Resources struct {
+	CPU          int
+	Memory       int
+	Accelerators int
+}
+
+// JobStep is one step of a job: a number of equal tasks.
+type JobStep struct {
+	Count       int           `msg:"count"`
+	Demand      Resources     `msg:"demand"`
+	Estimate    time.Duration `msg:"estimate,omitempty"` // the caller's guess of a task's run time
+	After       []int         `msg:"after,omitempty"`    // steps that must be done first
+	Checkpoints bool          `msg:"checkpoints,omitempty"`
+	Gang        bool          `msg:"gang,omitempty"`
+	SameRack    bool          `msg:"same_rack,omitempty"`
+	Copies      bool          `msg:"copies,omitempty"` // several runs of a task may overlap
+	LongRunning bool          `msg:"long_running,omitempty"`
+	Fills       bool          `msg:"fills,omitempty"` // uses processor time that others leave
+	Label       string        `msg:"label,omitempty"` // the worker must have it
+	DataRack    string        `msg:"data_rack,omitempty"`
+	Image       string        `msg:"image,omitempty"`
+	Spread      int           `msg:"spread,omitempty"`   // most tasks of the step on one worker; 0 is no limit
+	MayMiss     int           `msg:"may_miss,omitempty"` // tasks that may be unavailable by our own orders
+	Target      time.Duration `msg:"target,omitempty"`   // tail latency of a long-running task
+}
+
+// Job is a job as it was accepted. It never changes.
+type Job struct {
+	ID        string        `msg:"id"`
+	Queue     string        `msg:"queue"`
+	Customer  string        `msg:"customer"`
+	Service   string        `msg:"service"`
+	Spec      string        `msg:"spec"`
+	Priority  int           `msg:"priority"`
+	Attempts  int           `msg:"attempts"`
+	Stretch   float64       `msg:"stretch"`
+	Objective time.Duration `msg:"objective"` // beyond the stretched work
+	Accepted  time.Time     `msg:"accepted"`
+	FirstRun  time.Time     `msg:"first_run"` // of occurrence 0, if Repeat is not 0
+	Interval  time.Duration `msg:"interval,omitempty"`
+	Repeat    int           `msg:"repeat,omitempty"` // number of occurrences; 0 is one, at once
+	Steps     []JobStep     `msg:"steps"`
+}
+
+// TaskID names a task.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// TaskRun names one run of a task.
+type TaskRun struct {
+	Task TaskID
+	Run  int
+}
+
+// TaskProgress is the durable state of a task. Node, Instance and Born name
+// the worker of an active run; Node is empty if none is active.
+type TaskProgress struct {
+	Done       bool
+	Run        int
+	Failures   int
+	Node       string
+	Instance   string
+	Born       int64
+	Checkpoint string
+}
+
+// StageProgress is the durable state of one step of one occurrence that has
+// begun.
+type StageProgress struct {
+	Occurrence int
+	Step       int
+	Failures   int // of a gang
+	Tasks      []TaskProgress
+}
+
+// JobProgress is the durable state of a job that has begun.
+type JobProgress struct {
+	State  JobState        `msg:"state"`
+	Stages []StageProgress `msg:"stages"`
+}
+
+// SchedulerLease is the row that makes one process the scheduler. Every
+// transaction of the scheduler replaces it, so that its version orders them.
+type SchedulerLease struct {
+	Epoch    uint64         `msg:"epoch"` // grows at each take-over
+	Sequence uint64         `msg:"sequence"`
+	Holder   string         `msg:"holder"`
+	Address  netip.AddrPort `msg:"address"`
+	Key      []byte         `msg:"key"`      // of the control connections
+	Released bool           `msg:"released"` // the holder has stopped
+}
+
+// WorkerInfo is what a worker says of itself.
+type WorkerInfo struct {
+	Instance  string        `msg:"instance"`
+	Born      int64         `msg:"born"` // start of this lifetime, in Unix milliseconds
+	Service   string        `msg:"service"`
+	Zone      string        `msg:"zone"`
+	Rack      string        `msg:"rack"`
+	Labels    []string      `msg:"labels"`
+	Capacity  Resources     `msg:"capacity"`
+	State     WorkerState   `msg:"state"`
+	Remaining time.Duration `msg:"remaining"` // least time until a draining worker leaves
+}
+
+// RunningTask is a run that is present on a worker.
+type RunningTask struct {
+	Task       TaskID
+	Run        int
+	Checkpoint string
+	Percent    int
+}
+
+// EndedRun is a run that has ended on a worker. Number grows with each end in a
+// worker's lifetime.
+type EndedRun struct {
+	Number     int
+	Task       TaskID
+	Run        int
+	How        RunEnd
+	Checkpoint string
+}
+
+// RefusedRun is a run that was ordered and will never start on the worker.
+type RefusedRun struct {
+	Task   TaskID
+	Run    int
+	Reason string
+}
+
+// WorkerReport is what an agent tells the scheduler of its worker.
+type WorkerReport struct {
+	Sequence uint64        `msg:"sequence"`
+	Node     string        `msg:"node"`
+	Sent     time.Duration `msg:"sent"` // on the agent's steady clock
+	Worker   WorkerInfo    `msg:"worker"`
+	Running  []RunningTask `msg:"running"`
+	Ended    []EndedRun    `msg:"ended"`
+	Refused  []RefusedRun  `msg:"refused"`
+}
+
+// StartTask orders the start of a run.
+type StartTask struct {
+	Task       TaskID `msg:"task"`
+	Run        int    `msg:"run"`
+	Spec       string `msg:"spec"`
+	Checkpoint string `msg:"checkpoint,omitempty"`
+}
+
+// WorkerOrders are the scheduler's standing orders to an agent. They replace
+// earlier ones. Instance and Born name the lifetime that they are meant for.
+type WorkerOrders struct {
+	Sequence uint64        `msg:"sequence"`
+	Epoch    uint64        `msg:"epoch"`
+	Token    uint64        `msg:"token"`   // fencing token for the worker
+	Granted  time.Duration `msg:"granted"` // Sent of the newest report; leases may be renewed until a limit after it
+	Instance string        `msg:"instance"`
+	Born     int64         `msg:"born"`
+	Acked    int           `msg:"acked"` // ends up to this number are durable
+	Starts   []StartTask   `msg:"starts"`
+	Stops    []TaskRun     `msg:"stops"`
+}
+
+// JobQuery asks the scheduler for the state of a job.
+type JobQuery struct {
+	ID string `msg:"id"`
+}
+
+// JobAnswer answers a JobQuery. Known is false if the scheduler has no such
+// job, which does not prove that none was accepted.
+type JobAnswer struct {
+	Known bool     `msg:"known"`
+	Queue string   `msg:"queue"`
+	State JobState `msg:"state"`
+}
+
+// QueueQuery asks the scheduler for the length of a queue.
+type QueueQuery struct {
+	Queue string `msg:"queue"`
+}
+
+// QueueAnswer is the number of a queue's jobs of which nothing has started.
+type QueueAnswer struct {
+	Pending int `msg:"pending"`
+}
--- a/io/wire/kind.go
+++ b/io/wire/kind.go
@@ -33,6 +33,12 @@
 	KindConfig
 	KindPeers
 	KindDrain
+	KindWorkerReport
+	KindWorkerOrders
+	KindJobQuery
+	KindJobAnswer
+	KindQueueQuery
+	KindQueueAnswer
 )
 
 // Message is a message of the schema.
@@ -54,28 +60,34 @@
 }
 
 var makers = map[Kind]func() Message{
-	KindHello:     func() Message { return new(Hello) },
-	KindChallenge: func() Message { return new(Challenge) },
-	KindAnswer:    func() Message { return new(Answer) },
-	KindReport:    func() Message { return new(Report) },
-	KindHomes:     func() Message { return new(Homes) },
-	KindRun:       func() Message { return new(Run) },
-	KindResult:    func() Message { return new(Result) },
-	KindHold:      func() Message { return new(Hold) },
-	KindHoldReply: func() Message { return new(HoldReply) },
-	KindFree:      func() Message { return new(Free) },
-	KindGang:      func() Message { return new(Gang) },
-	KindPark:      func() Message { return new(Park) },
-	KindRelease:   func() Message { return new(Release) },
-	KindRenew:     func() Message { return new(Renew) },
-	KindStop:      func() Message { return new(Stop) },
-	KindCancel:    func() Message { return new(Cancel) },
-	KindFetch:     func() Message { return new(Fetch) },
-	KindDone:      func() Message { return new(Done) },
-	KindAskConfig: func() Message { return new(AskConfig) },
-	KindConfig:    func() Message { return new(Config) },
-	KindPeers:     func() Message { return new(Peers) },
-	KindDrain:     func() Message { return new(Drain) },
+	KindHello:        func() Message { return new(Hello) },
+	KindChallenge:    func() Message { return new(Challenge) },
+	KindAnswer:       func() Message { return new(Answer) },
+	KindReport:       func() Message { return new(Report) },
+	KindHomes:        func() Message { return new(Homes) },
+	KindRun:          func() Message { return new(Run) },
+	KindResult:       func() Message { return new(Result) },
+	KindHold:         func() Message { return new(Hold) },
+	KindHoldReply:    func() Message { return new(HoldReply) },
+	KindFree:         func() Message { return new(Free) },
+	KindGang:         func() Message { return new(Gang) },
+	KindPark:         func() Message { return new(Park) },
+	KindRelease:      func() Message { return new(Release) },
+	KindRenew:        func() Message { return new(Renew) },
+	KindStop:         func() Message { return new(Stop) },
+	KindCancel:       func() Message { return new(Cancel) },
+	KindFetch:        func() Message { return new(Fetch) },
+	KindDone:         func() Message { return new(Done) },
+	KindAskConfig:    func() Message { return new(AskConfig) },
+	KindConfig:       func() Message { return new(Config) },
+	KindPeers:        func() Message { return new(Peers) },
+	KindDrain:        func() Message { return new(Drain) },
+	KindWorkerReport: func() Message { return new(WorkerReport) },
+	KindWorkerOrders: func() Message { return new(WorkerOrders) },
+	KindJobQuery:     func() Message { return new(JobQuery) },
+	KindJobAnswer:    func() Message { return new(JobAnswer) },
+	KindQueueQuery:   func() Message { return new(QueueQuery) },
+	KindQueueAnswer:  func() Message { return new(QueueAnswer) },
 }
 
 // Make returns an empty message of kind k.
@@ -152,3 +164,21 @@
 
 // Kind returns the kind of the message.
 func (*Drain) Kind() Kind { return KindDrain }
+
+// Kind returns the kind of the message.
+func (*WorkerReport) Kind() Kind { return KindWorkerReport }
+
+// Kind returns the kind of the message.
+func (*WorkerOrders) Kind() Kind { return KindWorkerOrders }
+
+// Kind returns the kind of the message.
+func (*JobQuery) Kind() Kind { return KindJobQuery }
+
+// Kind returns the kind of the message.
+func (*JobAnswer) Kind() Kind { return KindJobAnswer }
+
+// Kind returns the kind of the message.
+func (*QueueQuery) Kind() Kind { return KindQueueQuery }
+
+// Kind returns the kind of the message.
+func (*QueueAnswer) Kind() Kind { return KindQueueAnswer }
--- /dev/null
+++ b/io/worker/hold.go
@@ -0,0 +1,219 @@
+package worker
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"bramleythread/io/wire"
+)
+
+// holdLoop renews the worker's lease and takes in what runs and what has ended.
+func (a *Agent) holdLoop(ctx context.Context) {
+	defer a.wg.Done()
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		idle := a.info.Instance == "" || a.info.State == wire.WorkerGone || a.orders.Token == 0
+		a.mu.Unlock()
+		if idle {
+			a.pause(ctx, holdWait, a.fresh)
+			continue
+		}
+		a.hold(ctx)
+	}
+}
+
+func (a *Agent) pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-wake:
+	}
+}
+
+// hold makes one call. While ends wait for their acknowledgement, or something
+// asks for a look, it does not wait at the worker.
+func (a *Agent) hold(ctx context.Context) {
+	a.mu.Lock()
+	now := time.Now()
+	life := a.life
+	o := HoldOrder{
+		Instance: a.info.Instance, Token: a.token(), Until: a.lease(now),
+		Acked: a.orders.Acked, Wait: holdWait,
+	}
+	unacked := len(a.ended) > 0 && a.ended[len(a.ended)-1].Number > o.Acked
+	if !a.seen || a.unsettled() {
+		o.Wait = 0
+	}
+	a.mu.Unlock()
+	if unacked {
+		a.pause(ctx, ackWait, a.acks)
+		a.mu.Lock()
+		o.Acked, o.Wait = a.orders.Acked, 0
+		if life != a.life || o.Instance != a.info.Instance {
+			o.Acked = 0
+		}
+		a.mu.Unlock()
+	}
+	sent := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, o.Wait+callMargin)
+	stop := a.cutShort(callCtx, cancel, o.Wait > 0)
+	reply, err := a.cfg.Worker.Hold(callCtx, o)
+	stop()
+	cancel()
+	if err != nil {
+		a.holdFailed(ctx, err)
+		return
+	}
+	a.take(reply, o, sent, life)
+}
+
+// unsettled reports whether a stop waits for a look at the worker.
+func (a *Agent) unsettled() bool {
+	for r, p := range a.pending {
+		if _, there := a.running[r]; p.stopped && !there {
+			return true
+		}
+	}
+	return false
+}
+
+// cutShort makes a second call without waiting when something asks for a look
+// while the first one waits at the worker.
+func (a *Agent) cutShort(ctx context.Context, cancel context.CancelFunc, waits bool) func() {
+	if !waits {
+		return func() {}
+	}
+	ended := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-ended:
+		case <-ctx.Done():
+		case <-a.fresh:
+			a.lookNow(ctx)
+		}
+	}()
+	return func() {
+		close(ended)
+		<-done
+	}
+}
+
+// lookNow makes a call that does not wait.
+func (a *Agent) lookNow(ctx context.Context) {
+	a.mu.Lock()
+	life := a.life
+	o := HoldOrder{Instance: a.info.Instance, Token: a.token(), Until: a.lease(time.Now()), Acked: a.orders.Acked}
+	a.mu.Unlock()
+	sent := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := a.cfg.Worker.Hold(callCtx, o)
+	if err != nil {
+		a.cfg.Log.Debug().Err(err).Msg("look_failed")
+		return
+	}
+	a.take(reply, o, sent, life)
+}
+
+func (a *Agent) holdFailed(ctx context.Context, err error) {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		a.cfg.Log.Debug().Str("reason", refused.Reason).Msg("hold_refused")
+	} else {
+		a.cfg.Log.Debug().Err(err).Msg("hold_unanswered")
+	}
+	a.pause(ctx, retryPause, nil)
+}
+
+// take takes in the answer to a hold. Answers may overtake each other.
+func (a *Agent) take(reply HoldReply, o HoldOrder, sent time.Time, life uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if life != a.life || reply.Born != 0 && a.info.Born != 0 && reply.Born != a.info.Born || !sent.After(a.looked) {
+		return
+	}
+	a.looked = sent
+	a.setClock(reply.Clock, time.Now())
+	changed := !a.seen
+	running := make(map[wire.TaskRun]wire.RunningTask, len(reply.Running))
+	for _, t := range reply.Running {
+		r := wire.TaskRun{Task: t.Task, Run: t.Run}
+		running[r] = t
+		changed = changed || a.running[r] != t
+	}
+	a.ended = mergeEnds(a.ended, reply.Ended, o.Acked)
+	for r, t := range a.startedAt {
+		if !t.After(sent) {
+			delete(a.startedAt, r)
+		} else if _, there := running[r]; !there && !a.hasEnded(r) {
+			running[r] = a.running[r] // started after this answer was made
+		}
+	}
+	changed = changed || len(a.running) != len(running) || len(reply.Ended) > 0
+	a.running = running
+	a.seen = a.seen || o.Token == a.token()
+	a.settle(sent)
+	a.obey()
+	if changed {
+		a.report()
+	}
+}
+
+// mergeEnds adds the ends that a worker lists, and drops those that it has been
+// told to forget.
+func mergeEnds(known, listed []wire.EndedRun, acked int) []wire.EndedRun {
+	byNumber := make(map[int]wire.EndedRun)
+	for _, e := range append(known, listed...) {
+		if e.Number > acked {
+			byNumber[e.Number] = e
+		}
+	}
+	merged := make([]wire.EndedRun, 0, len(byNumber))
+	for _, e := range byNumber {
+		merged = append(merged, e)
+	}
+	slices.SortFunc(merged, func(a, b wire.EndedRun) int { return cmp.Compare(a.Number, b.Number) })
+	return merged
+}
+
+// reportLoop reports at least once in each interval.
+func (a *Agent) reportLoop(ctx context.Context) {
+	defer a.wg.Done()
+	for ctx.Err() == nil {
+		a.pause(ctx, reportInterval, nil)
+		a.mu.Lock()
+		a.report()
+		a.mu.Unlock()
+	}
+}
+
+// report sends the state of the worker to the scheduler. It says nothing before
+// the worker has been looked at with the token of this connection, so that what
+// it does not list is certain not to start later.
+func (a *Agent) report() {
+	c := a.link.Conn()
+	if c == nil || a.info.Instance == "" || !a.seen && a.info.State != wire.WorkerGone {
+		return
+	}
+	a.sequence++
+	m := &wire.WorkerReport{
+		Sequence: a.sequence, Node: a.cfg.Node, Sent: time.Since(a.start) + 1, Worker: a.info, Ended: a.ended,
+	}
+	for _, t := range a.running {
+		m.Running = append(m.Running, t)
+	}
+	for r, reason := range a.refused {
+		m.Refused = append(m.Refused, wire.RefusedRun{Task: r.Task, Run: r.Run, Reason: reason})
+	}
+	a.cfg.Metrics.observe(len(m.Running), len(m.Ended))
+	if err := c.Send(m); err != nil {
+		a.cfg.Log.Debug().Err(err).Msg("report_not_sent")
+	}
+}
