Take over sooner, and refuse at once while the store does not answer

Submissions during an outage waited for their whole deadline and ended in 504. Ruled out: the take-over's reads (40 ms). Change: a dial is bounded by 500 ms and tried once a lease revision; the limit is 1.4 s if the holder is not reachable either; Health watches the calls to the store, and Jobs refuses before it writes while no call is answered.

--- a/io/caller/catalog.go
+++ b/io/caller/catalog.go
@@ -15,13 +15,14 @@
 
 // Times of a catalog's follower.
 const (
-	catalogWait   = 2 * time.Second         // a long poll of the store; the age of what is known stays near it
-	catalogMargin = 1500 * time.Millisecond // beyond the wait, for a slow store's answer
+	catalogWait   = 1500 * time.Millisecond // a long poll of the store; what is known is at most twice as old
+	catalogMargin = time.Second             // beyond the wait, for a slow store's answer
 	catalogPause  = 150 * time.Millisecond  // after a failure
 )
 
 // CatalogConfig sets up a follower.
 type CatalogConfig struct {
+	Health *platform.Health
 	Store  platform.Store
 	Log    zerolog.Logger
 	Table  string
@@ -79,19 +80,21 @@
 	var after uint64
 	for ctx.Err() == nil {
 		asked := bootTime()
-		callCtx, cancel := context.WithTimeout(ctx, catalogWait+catalogMargin)
-		changes, err := c.cfg.Store.Watch(callCtx, c.cfg.Table, after, catalogWait)
+		wait := catalogWait
+		if _, failing := c.cfg.Health.Failing(); failing {
+			wait = 0 // ask whether the store is back
+		}
+		callCtx, cancel := context.WithTimeout(ctx, wait+catalogMargin)
+		changes, err := c.cfg.Store.Watch(callCtx, c.cfg.Table, after, wait)
 		cancel()
 		var lost *platform.HistoryError
 		switch {
 		case err == nil:
 			after = max(changes.Revision, 1)
-			c.take(changes, asked)
+			c.take(changes, confirmedAt(changes, asked, bootTime()))
 		case errors.As(err, &lost):
 			after = 0
 		case ctx.Err() == nil:
-			_, age := c.Get()
-			c.cfg.Log.Warn().Err(err).Dur("age", age).Msg("configuration_feed_interrupted")
 			t := time.NewTimer(catalogPause)
 			select {
 			case <-ctx.Done():
@@ -102,8 +105,17 @@
 	}
 }
 
-// take takes in changes that were asked for at a boot time.
-func (c *Catalog) take(changes platform.Changes, asked time.Duration) {
+// confirmedAt returns the boot time at which nothing newer than the changes was
+// in the store. An empty answer that took the whole wait was made at its end.
+func confirmedAt(changes platform.Changes, asked, answered time.Duration) time.Duration {
+	if len(changes.Rows) == 0 && answered-asked >= catalogWait {
+		return asked + catalogWait*9/10 // the store's clock may be faster
+	}
+	return asked
+}
+
+// take takes in changes. Nothing newer was in the store at the given boot time.
+func (c *Catalog) take(changes platform.Changes, confirmed time.Duration) {
 	for _, row := range changes.Rows {
 		if row.Key != c.cfg.Key || row.Deleted {
 			continue
@@ -118,7 +130,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current != nil {
-		c.confirmed = asked
+		c.confirmed = max(c.confirmed, confirmed)
 	}
 }
 
--- a/io/caller/door.go
+++ b/io/caller/door.go
@@ -6,19 +6,26 @@
 	"time"
 
 	"bramleythread/core/job"
+	"bramleythread/io/platform"
 )
 
-// tokenMargin is kept of the time for which a withdrawn token may be accepted:
-// a request takes some of it to be handled.
-const tokenMargin = time.Second
+// tokenMargin is kept of the time for which a withdrawn token may be accepted.
+// A feed that has lost its history may have been silent for a second, and a
+// request takes some time to be handled.
+const tokenMargin = 1500 * time.Millisecond
 
 // readyAge is the age of the configuration up to which an entry asks for
 // requests: one long poll and the time that a slow answer may take.
 const readyAge = catalogWait + catalogMargin
 
+// storeGrace is the time for which a store that does not answer is taken to be
+// slow only: a single lost answer is no reason to send callers elsewhere.
+const storeGrace = 300 * time.Millisecond
+
 // Door decides which requests are let in.
 type Door struct {
 	Catalog         *Catalog
+	Health          *platform.Health
 	RevocationLimit time.Duration // a withdrawn token may be accepted for so long
 	stopping        atomic.Bool
 }
@@ -78,8 +85,12 @@
 // Stopping reports whether Stop was called.
 func (d *Door) Stopping() bool { return d.stopping.Load() }
 
-// Ready reports whether the entry wants requests.
+// Ready reports whether the entry wants requests: it can accept jobs only while
+// the store answers.
 func (d *Door) Ready() bool {
+	if since, failing := d.Health.Failing(); failing && since > storeGrace {
+		return false
+	}
 	c, age := d.Catalog.Get()
 	return c != nil && age <= readyAge && !d.stopping.Load()
 }
--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -21,6 +21,7 @@
 	queryLimit  = 400 * time.Millisecond // for the scheduler's answer, several round trips between zones
 	refuseAfter = 300 * time.Millisecond // of tries that the store has turned away
 	busyRetry   = time.Second            // when the store turns a write away
+	maxRetry    = 4 * time.Second        // a longer wait leaves callers too few tries
 	answerSlack = 100 * time.Millisecond // kept of the caller's deadline for the answer's way back
 )
 
@@ -46,6 +47,7 @@
 
 // Jobs takes in durable jobs: a job is accepted once its row is written.
 type Jobs struct {
+	Health *platform.Health
 	Store  platform.Store
 	Ask    func(ctx context.Context, m wire.Message) (wire.Message, error) // the scheduler
 	Log    zerolog.Logger
@@ -54,6 +56,10 @@
 
 // Submit stores a job. The same id again is the same job.
 func (s *Jobs) Submit(ctx context.Context, j wire.Job) error {
+	if err := s.available(); err != nil {
+		s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Str("outcome", err.Error()).Msg("submit")
+		return err
+	}
 	value, err := j.MarshalMsg(nil)
 	if err != nil {
 		return err
@@ -76,6 +82,18 @@
 	return err
 }
 
+// available refuses at once what cannot be stored: while the store does not
+// answer, a write would only make the outcome unknown. Callers are told to come
+// back after as long as the store has been away: half of all outages are over
+// by then if their lengths are spread evenly on a logarithmic scale.
+func (s *Jobs) available() error {
+	since, failing := s.Health.Failing()
+	if !failing {
+		return nil
+	}
+	return &NotAcceptedError{Reason: "store_unavailable", Retry: min(max(since, busyRetry), maxRetry)}
+}
+
 // write applies a transaction that inserts one row. known tells that the row
 // was there already. It tries until the context ends, since a try without an
 // answer may be applied later: only a further try can tell.
--- a/io/frame/conn.go
+++ b/io/frame/conn.go
@@ -26,7 +26,7 @@
 	HandshakeTimeout = 2 * time.Second
 	ReadTimeout      = 2500 * time.Millisecond
 	WriteTimeout     = 2 * time.Second
-	KeepAlive        = 500 * time.Millisecond
+	KeepAlive        = 300 * time.Millisecond
 
 	quiescePoll = 5 * time.Millisecond
 
@@ -122,6 +122,8 @@
 		return nil, err
 	}
 	c := newConn(nc, cfg)
+	stop := context.AfterFunc(ctx, func() { _ = nc.Close() })
+	defer stop()
 	if err := c.dialHandshake(); err != nil {
 		_ = nc.Close()
 		return nil, err
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -14,6 +14,7 @@
 	"bramleythread/core/job"
 	"bramleythread/io/caller"
 	"bramleythread/io/logfmt"
+	"bramleythread/io/platform"
 	"bramleythread/io/scheduler"
 	"bramleythread/io/worker"
 	adapter "bramleythread/platform"
@@ -63,18 +64,19 @@
 }
 
 func startJobEntry(s *adapter.Settings, log zerolog.Logger) (*jobEntry, error) {
-	store := adapter.NewStore(s.Store)
 	l, _, err := listen(s.Peers)
 	if err != nil {
 		return nil, eris.Wrap(err, "peers")
 	}
 	registry := newRegistry()
+	health := platform.NewHealth(adapter.NewStore(s.Store), log, registry)
+	store := health.Store()
 	metrics := scheduler.NewMetrics(registry)
 	p := &jobEntry{}
 	p.catalog = caller.FollowCatalog(caller.CatalogConfig{
-		Store: store, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration,
+		Store: store, Health: health, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration,
 	})
-	p.door = &caller.Door{Catalog: p.catalog, RevocationLimit: s.RevocationLimit}
+	p.door = &caller.Door{Catalog: p.catalog, Health: health, RevocationLimit: s.RevocationLimit}
 	p.candidate = scheduler.Start(scheduler.Config{
 		Node: s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
 		Guarantees: p.catalog.Guarantees,
@@ -87,7 +89,7 @@
 			Decision:    logDecision(log, metrics),
 		},
 	}, l)
-	ingress := &adapter.Ingress{Door: p.door, Log: log, Jobs: &caller.Jobs{Store: store, Ask: p.candidate.Ask, Log: log}}
+	ingress := &adapter.Ingress{Door: p.door, Log: log, Jobs: &caller.Jobs{Store: store, Health: health, Ask: p.candidate.Ask, Log: log}}
 	mux := newMux(registry, p.door.Ready)
 	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !p.door.Ready() {
@@ -152,8 +154,9 @@
 
 func startJobAgent(s *adapter.Settings, log zerolog.Logger) (*jobAgent, error) {
 	registry := newRegistry()
+	health := platform.NewHealth(adapter.NewStore(s.Store), log, registry)
 	p := &jobAgent{agent: worker.Start(worker.Config{
-		Node: s.Node, Zone: s.Zone, Store: adapter.NewStore(s.Store), Worker: adapter.NewWorker(s.Worker),
+		Node: s.Node, Zone: s.Zone, Store: health.Store(), Worker: adapter.NewWorker(s.Worker),
 		Log: log, Metrics: worker.NewMetrics(prometheus.WrapRegistererWith(nil, registry)),
 	})}
 	mux := newMux(registry, func() bool { return true })
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -113,6 +113,7 @@
 	lease    wire.SchedulerLease
 	revision uint64
 	since    time.Time // when this revision was first seen
+	failed   bool      // its holder could not be reached since
 }
 
 // run follows the lease, takes it when it is free and holds it.
@@ -132,7 +133,6 @@
 	lease, revision, err := readLease(callCtx, c.cfg.Store)
 	cancel()
 	if err != nil {
-		c.cfg.Log.Warn().Err(err).Msg("lease_not_read")
 		seen.since = time.Now() // the holder may have been as far from the store
 		_ = sleep(ctx, jitter(pollUnlinked))
 		return
@@ -142,16 +142,19 @@
 		*seen = watch{lease: lease, revision: revision, since: now}
 	}
 	free := revision == 0 || lease.Released || lease.Holder == c.cfg.Node
-	if free || now.Sub(seen.since) >= staleLimit {
+	limit := staleLimit
+	if c.link.Conn() == nil {
+		limit = lostLimit
+	}
+	if free || now.Sub(seen.since) >= limit {
 		c.take(ctx, *seen, free)
 		seen.since = time.Time{}
 		return
 	}
-	if c.link.Conn() == nil {
+	if c.link.Conn() == nil && !seen.failed {
 		if _, err := c.link.dial(ctx, lease); err != nil {
 			c.cfg.Log.Debug().Err(err).Msg("scheduler_not_reached")
-			_ = sleep(ctx, jitter(pollUnlinked))
-			return
+			seen.failed = true
 		}
 	}
 	c.waitLinked(ctx)
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -96,7 +96,6 @@
 		if err == nil {
 			return c, nil
 		}
-		h.cfg.Log.Warn().Str("table", table).Err(err).Msg("table_not_read")
 		if err := sleep(ctx, jitter(pause)); err != nil {
 			return platform.Changes{}, err
 		}
@@ -260,7 +259,6 @@
 			h.cfg.Log.Warn().Uint64("after", lost.After).Msg("history_lost")
 			h.feed = 0
 		default:
-			h.cfg.Log.Warn().Err(err).Msg("feed_interrupted")
 			_ = sleep(ctx, jitter(pause))
 			pause = min(2*pause, retryMax)
 		}
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -29,6 +29,7 @@
 const (
 	renewInterval = time.Second             // a third of what others wait for
 	staleLimit    = 2500 * time.Millisecond // unchanged for so long, the lease may be taken: two missed renewals
+	lostLimit     = 1400 * time.Millisecond // the same, while its holder cannot be reached either: one missed renewal
 	pollLinked    = 2 * time.Second         // while the scheduler answers
 	pollUnlinked  = 250 * time.Millisecond  // while it does not
 	commitTimeout = 1500 * time.Millisecond // several times an answer of a slow store
--- a/io/scheduler/link.go
+++ b/io/scheduler/link.go
@@ -12,8 +12,12 @@
 )
 
 // linkSilence ends a connection to or from the scheduler on which nothing
-// arrives: three keep-alives.
-const linkSilence = 3 * frame.KeepAlive
+// arrives: four keep-alives.
+const linkSilence = 4 * frame.KeepAlive
+
+// linkDial bounds a connection attempt with its handshake: many round trips
+// between zones. The holder of the lease may be a machine without power.
+const linkDial = 500 * time.Millisecond
 
 // Link keeps a process connected to whoever is the scheduler.
 type Link struct {
@@ -60,6 +64,8 @@
 
 // dial connects to the holder of a lease.
 func (l *Link) dial(ctx context.Context, lease wire.SchedulerLease) (*frame.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, linkDial)
+	defer cancel()
 	c, err := frame.Dial(ctx, lease.Address, frame.Config{
 		Local: l.cfg.Local, Key: lease.Key, Handle: l.cfg.Handle, Silence: linkSilence,
 	})
@@ -79,9 +85,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 		found, revision, err := readLease(callCtx, l.cfg.Store)
 		cancel()
-		if err != nil {
-			l.cfg.Log.Warn().Err(err).Msg("lease_not_read")
-		} else if revision != 0 {
+		if err == nil && revision != 0 {
 			lease = found
 		}
 		if !lease.Address.IsValid() || lease.Released {
