Stop less work for urgent jobs, and look at the store before a write

Change: progress tells what is left of a run; a draining worker's runs are stopped only if they would not end in time; urgent work beyond its guarantee stops saved work only, until its job would be worth nothing; a submission reads before it writes unless the store has just answered; calls that an outage has swallowed are given up when another is answered.

--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -91,7 +91,8 @@
 	placed   time.Time
 	began    time.Time // when the worker listed it first
 	saved    time.Time // when its checkpoint last changed
-	percent  int
+	percent  int       // of the work that is done
+	first    int       // percent when the worker listed it first
 	progress time.Time // when percent last grew
 	cause    string    // of the stop
 }
--- a/core/job/learn.go
+++ b/core/job/learn.go
@@ -44,3 +44,24 @@
 	}
 	return defaultRunTime
 }
+
+// Progress that is enough to tell how long a run still takes.
+const (
+	leastGain = 3 // percent
+	leastTime = 300 * time.Millisecond
+)
+
+// remaining returns how long a run is expected to go on. Its own progress tells
+// more than the times of others.
+func (e *Engine) remaining(r *run, now time.Time) time.Duration {
+	expected := e.runTime(r.task.stage)
+	if r.began.IsZero() {
+		return expected
+	}
+	gain, took := r.percent-r.first, r.progress.Sub(r.began)
+	left := expected - now.Sub(r.began)
+	if gain >= leastGain && took >= leastTime {
+		left = took*time.Duration(100-r.percent)/time.Duration(gain) - now.Sub(r.progress)
+	}
+	return max(left, expected/20)
+}
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -27,25 +27,73 @@
 }
 
 // reclaim makes room for urgent work by stopping the runs of lower priority
-// that lose the least. The room is held until they are gone.
+// that lose the least. The room is held until they are gone. Work beyond its
+// customer's guarantee stops only what loses nothing, until it would come too
+// late to be worth anything.
 func (e *Engine) reclaim(s *stage, tasks []*task, now time.Time) {
-	best := e.cheapest(s, len(tasks), now)
+	saved := func(r *run) bool { return r.task.stage.step.Checkpoints || r.began.IsZero() }
+	stoppable := func(*run) bool { return true }
+	reason := "guarantee"
+	if !e.guarantee(s.job) {
+		stoppable, reason = saved, "saved_only"
+		if now.Add(e.runTime(s)).After(e.worthless(s).Add(-lastMinute)) {
+			stoppable, reason = func(*run) bool { return true }, "last_minute"
+		}
+	}
+	best := e.cheapest(s, len(tasks), stoppable, now)
 	if best == nil {
 		return
 	}
 	for _, r := range best.victims {
-		e.preempt(r, s, now)
+		e.preempt(r, s, reason, now)
 	}
 	e.hold(s, best.use, now.Add(holdTime))
 }
 
-func (e *Engine) preempt(r *run, by *stage, now time.Time) {
-	e.decide(Decision{What: "preempt", Job: r.task.stage.job.ID, Task: r.task.id(), Run: r.number, Worker: r.worker.Node, Reason: "for_job:" + by.job.ID, Age: now.Sub(r.placed)})
+// lastMinute is the time before a job is worth nothing at which it may stop work
+// that loses by it: a stop, a start and the spread of run times.
+const lastMinute = 1500 * time.Millisecond
+
+// lateLimit is how many times its objective a job may take and still be worth
+// something to the callers.
+const lateLimit = 3
+
+// objective returns how long the callers allow for the job.
+func (e *Engine) objective(j *Job) time.Duration {
+	work := time.Duration(0)
+	for _, s := range j.order {
+		work = max(work, e.runTime(s))
+	}
+	return time.Duration(j.Stretch*float64(work)*float64(len(j.Steps))) + j.Objective
+}
+
+// worthless returns when the stage's job is worth nothing any more.
+func (e *Engine) worthless(s *stage) time.Time {
+	return s.job.Accepted.Add(lateLimit * e.objective(s.job))
+}
+
+// guarantee reports whether all urgent work of the job's customer that has not
+// ended is within the customer's guarantee.
+func (e *Engine) guarantee(j *Job) bool {
+	need := 0
+	for _, other := range e.list {
+		if other.Priority != 0 || other.Customer != j.Customer || other.state.Final() {
+			continue
+		}
+		for i := range other.Steps {
+			need += other.Steps[i].Count * other.Steps[i].Demand.Accelerators
+		}
+	}
+	return need <= e.guaranteed[j.Customer]
+}
+
+func (e *Engine) preempt(r *run, by *stage, reason string, now time.Time) {
+	e.decide(Decision{What: "preempt", Job: r.task.stage.job.ID, Task: r.task.id(), Run: r.number, Worker: r.worker.Node, Reason: reason + ":" + by.job.ID, Age: now.Sub(r.placed)})
 	e.stopWhole(r, "preempted")
 }
 
 // cheapest returns the clearing that loses the least work, or nil.
-func (e *Engine) cheapest(s *stage, n int, now time.Time) *clearing {
+func (e *Engine) cheapest(s *stage, n int, stoppable func(*run) bool, now time.Time) *clearing {
 	var sets [][]*Worker
 	racks := make(map[string][]*Worker)
 	var names []string
@@ -71,19 +119,19 @@
 	}
 	var best *clearing
 	for _, set := range sets {
-		if c := e.clear(s, set, n, now); c != nil && (best == nil || c.lost < best.lost) {
+		if c := e.clear(s, set, n, stoppable, now); c != nil && (best == nil || c.lost < best.lost) {
 			best = c
 		}
 	}
 	if best == nil && (!s.step.SameRack || !e.couldBeNear(s, now)) {
-		best = e.clear(s, all, n, now)
+		best = e.clear(s, all, n, stoppable, now)
 	}
 	return best
 }
 
 // clear returns what to stop on a set of workers to make room for n tasks, or
 // nil if that is not enough.
-func (e *Engine) clear(s *stage, set []*Worker, n int, now time.Time) *clearing {
+func (e *Engine) clear(s *stage, set []*Worker, n int, stoppable func(*run) bool, now time.Time) *clearing {
 	type option struct {
 		w       *Worker
 		victims []*run
@@ -99,7 +147,7 @@
 			if s.step.Spread > 0 && c.use[w] >= e.spreadLeft(w, s) {
 				continue
 			}
-			victims, lost, ok := e.evict(w, s, d, now)
+			victims, lost, ok := e.evict(w, s, d, stoppable, now)
 			if ok && (best.w == nil || lost-options[w].lost < best.lost-options[best.w].lost) {
 				best = option{w: w, victims: victims, lost: lost}
 			}
@@ -119,7 +167,7 @@
 }
 
 // evict returns the runs to stop on a worker so that it has room for d.
-func (e *Engine) evict(w *Worker, s *stage, d wire.Resources, now time.Time) ([]*run, float64, bool) {
+func (e *Engine) evict(w *Worker, s *stage, d wire.Resources, stoppable func(*run) bool, now time.Time) ([]*run, float64, bool) {
 	free := e.free(w, s)
 	var victims []victim
 	for _, r := range w.runs {
@@ -127,7 +175,7 @@
 			free = add(free, demand(r.task.stage.step)) // gone soon
 			continue
 		}
-		if r.task.stage.job.Priority > s.job.Priority {
+		if r.task.stage.job.Priority > s.job.Priority && stoppable(r) {
 			victims = append(victims, victim{r: r, lost: e.lost(r, now)})
 		}
 	}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -31,7 +31,7 @@
 	}
 	e.takeRunning(w, r.Running, now)
 	if w.State == wire.WorkerDraining {
-		e.drain(w)
+		e.drain(w, now)
 	}
 	if w.State == wire.WorkerGone {
 		e.lose(w, "worker_left", now)
@@ -40,15 +40,20 @@
 	return true
 }
 
-// drain stops what loses nothing by it, and what has not begun.
-func (e *Engine) drain(w *Worker) {
+// drain stops what loses nothing by it, what has not begun, and what will not
+// end before the worker leaves.
+func (e *Engine) drain(w *Worker, now time.Time) {
 	for _, r := range w.runs {
-		if r.phase == ordered || r.task.stage.step.Checkpoints || r.task.stage.step.LongRunning {
+		step := r.task.stage.step
+		if r.phase == ordered || step.Checkpoints || step.LongRunning || e.remaining(r, now) > w.Remaining+leaveSlack {
 			e.stopWhole(r, "worker_draining")
 		}
 	}
 }
 
+// leaveSlack is how much longer than it says a draining worker usually stays.
+const leaveSlack = time.Second
+
 // NewLink tells that an agent has opened a new connection, on which the numbers
 // of its reports begin anew.
 func (e *Engine) NewLink(node string) {
@@ -128,6 +133,7 @@
 func (e *Engine) listed(r *run, t wire.RunningTask, now time.Time) {
 	if r.began.IsZero() {
 		r.began, r.progress, r.saved = now, now, now
+		r.first, r.percent = t.Percent, t.Percent
 	}
 	if r.phase == ordered {
 		r.phase = started
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -68,7 +68,7 @@
 	}
 	rank := make(map[*stage]float64, len(queue))
 	for _, s := range queue {
-		rank[s] = e.rank(s, now)
+		rank[s] = e.rank(s)
 	}
 	slices.SortStableFunc(queue, func(a, b *stage) int {
 		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), cmp.Compare(rank[a], rank[b]))
@@ -78,7 +78,7 @@
 
 // rank orders stages of one priority: by the time until their objective is
 // missed.
-func (e *Engine) rank(s *stage, now time.Time) float64 {
+func (e *Engine) rank(s *stage) float64 {
 	return s.job.Accepted.Sub(e.since).Seconds()
 }
 
--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"time"
 
 	"bramleythread/io/platform"
@@ -21,10 +20,15 @@
 	queryLimit  = 400 * time.Millisecond // for the scheduler's answer, several round trips between zones
 	refuseAfter = 300 * time.Millisecond // of tries that the store has turned away
 	busyRetry   = time.Second            // when the store turns a write away
+	trustAnswer = 200 * time.Millisecond // age of an answer that shows that the store is there
+	lookLimit   = 800 * time.Millisecond // for the answer of a store that is slow 100 times
 	maxRetry    = 4 * time.Second        // a longer wait leaves callers too few tries
 	answerSlack = 100 * time.Millisecond // kept of the caller's deadline for the answer's way back
 )
 
+// probeKey is a row that is read to see whether the store answers.
+const probeKey = scheduler.TableJob + "/probe"
+
 // NotAcceptedError tells that a job was not accepted and never runs.
 type NotAcceptedError struct {
 	Reason string
@@ -56,7 +60,7 @@
 
 // Submit stores a job. The same id again is the same job.
 func (s *Jobs) Submit(ctx context.Context, j wire.Job) error {
-	if err := s.available(); err != nil {
+	if err := s.available(ctx); err != nil {
 		s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Str("outcome", err.Error()).Msg("submit")
 		return err
 	}
@@ -82,15 +86,22 @@
 	return err
 }
 
-// available refuses at once what cannot be stored: while the store does not
-// answer, a write would only make the outcome unknown. Callers are told to come
-// back after as long as the store has been away: half of all outages are over
-// by then if their lengths are spread evenly on a logarithmic scale.
-func (s *Jobs) available() error {
+// available refuses at once what cannot be stored. Unless the store has just
+// answered, a read shows whether it does: a write without an answer would make
+// the outcome unknown, and the caller could not be told that nothing has run.
+func (s *Jobs) available(ctx context.Context) error {
 	since, failing := s.Health.Failing()
+	if !failing && s.Health.Silence() > trustAnswer {
+		callCtx, cancel := context.WithTimeout(ctx, lookLimit)
+		defer cancel()
+		if _, err := s.Store.Get(callCtx, probeKey); err != nil {
+			since, failing = 0, true
+		}
+	}
 	if !failing {
 		return nil
 	}
+	// Callers are told to come back after as long as the store has been away.
 	return &NotAcceptedError{Reason: "store_unavailable", Retry: min(max(since, busyRetry), maxRetry)}
 }
 
@@ -229,8 +240,3 @@
 func Within(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(ctx, max(limit-answerSlack, limit/2))
 }
-
-// validID reports whether an id is safe as a part of a row's key.
-func validID(id string) bool {
-	return id != "" && len(id) <= maxKey && !strings.ContainsAny(id, "./ ")
-}
--- a/io/platform/health.go
+++ b/io/platform/health.go
@@ -21,11 +21,13 @@
 	answers uint64    // counts answers
 	failing time.Time // of the first failure since the last answer; zero if it answers
 	tries   int       // failed since then
+	answer  time.Time // newest answer
+	open    map[*call]context.CancelFunc
 }
 
 // NewHealth returns the health of a store.
 func NewHealth(s Store, log zerolog.Logger, r prometheus.Registerer) *Health {
-	h := &Health{store: s, log: log, calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+	h := &Health{store: s, log: log, open: make(map[*call]context.CancelFunc), calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name:    "bramleythread_store_call_seconds",
 		Help:    "Time of calls to the platform's store.",
 		Buckets: prometheus.ExponentialBuckets(0.004, 2, 12),
@@ -45,29 +47,36 @@
 	return time.Since(h.failing), true
 }
 
+// Silence returns the time since the newest answer.
+func (h *Health) Silence() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.answer)
+}
+
 // Store returns the store with its calls watched.
 func (h *Health) Store() Store {
 	s := h.store
 	s.Get = func(ctx context.Context, key string) (Row, error) {
-		start := h.begin()
+		ctx, start := h.begin(ctx)
 		row, err := h.store.Get(ctx, key)
 		h.end("get", start, err)
 		return row, err
 	}
 	s.Scan = func(ctx context.Context, prefix string) ([]Row, error) {
-		start := h.begin()
+		ctx, start := h.begin(ctx)
 		rows, err := h.store.Scan(ctx, prefix)
 		h.end("scan", start, err)
 		return rows, err
 	}
 	s.Commit = func(ctx context.Context, t Txn) (uint64, error) {
-		start := h.begin()
+		ctx, start := h.begin(ctx)
 		revision, err := h.store.Commit(ctx, t)
 		h.end("commit", start, err)
 		return revision, err
 	}
 	s.Watch = func(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error) {
-		start := h.begin()
+		ctx, start := h.begin(ctx)
 		c, err := h.store.Watch(ctx, table, after, wait)
 		h.end("watch", start, err)
 		return c, err
@@ -81,33 +90,39 @@
 	answers uint64
 }
 
-func (h *Health) begin() call {
+func (h *Health) begin(ctx context.Context) (context.Context, *call) {
+	ctx, cancel := context.WithCancel(ctx)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return call{at: time.Now(), answers: h.answers}
+	c := &call{at: time.Now(), answers: h.answers}
+	h.open[c] = cancel
+	return ctx, c
 }
 
 // end takes in the outcome of a call. A failure of a call that began before the
 // newest answer says nothing new: a long poll may be lost with its connection.
-func (h *Health) end(op string, c call, err error) {
+func (h *Health) end(op string, c *call, err error) {
 	outcome := "answered"
 	var unavailable *UnavailableError
 	if errors.As(err, &unavailable) {
 		outcome = "failed"
 	}
 	h.calls.WithLabelValues(op, outcome).Observe(time.Since(c.at).Seconds())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.open[c]()
+	delete(h.open, c)
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	now := time.Now()
 	if outcome == "answered" {
 		if !h.failing.IsZero() {
 			h.log.Info().Str("op", op).Dur("after", now.Sub(h.failing)).Int("failed_calls", h.tries).Msg("store_regained")
+			h.giveUp(c.at)
 		}
 		h.answers++
-		h.failing, h.tries = time.Time{}, 0
+		h.failing, h.tries, h.answer = time.Time{}, 0, now
 		return
 	}
 	if c.answers != h.answers {
@@ -119,3 +134,13 @@
 	}
 	h.tries++
 }
+
+// giveUp ends the calls that began before a call that has been answered after an
+// outage: their own answers will not come.
+func (h *Health) giveUp(before time.Time) {
+	for c, cancel := range h.open {
+		if c.at.Before(before) {
+			cancel()
+		}
+	}
+}
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -61,7 +61,7 @@
 	}
 	sent := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+callMargin)
-	stop := a.cutShort(callCtx, cancel, o.Wait > 0)
+	stop := a.cutShort(callCtx, o.Wait > 0)
 	reply, err := a.cfg.Worker.Hold(callCtx, o)
 	stop()
 	cancel()
@@ -84,7 +84,7 @@
 
 // cutShort makes a second call without waiting when something asks for a look
 // while the first one waits at the worker.
-func (a *Agent) cutShort(ctx context.Context, cancel context.CancelFunc, waits bool) func() {
+func (a *Agent) cutShort(ctx context.Context, waits bool) func() {
 	if !waits {
 		return func() {}
 	}
