Keep the runs of a worker's present lifetime when an older one is restored

Ruled out: late orders (the second run was the scheduler's own placement, with reason worker_replaced). Change: a report keeps the row of its own lifetime and ends only earlier ones; TestRestoredRunsOfAnOlderLifetime failed before. A scheduler that the store turns away asks another entry to take over, which does so only if it reaches the store itself: an outage for all changes no scheduler.

--- /dev/null
+++ b/core/job/engine_test.go
@@ -0,0 +1,222 @@
+package job
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramleythread/io/wire"
+
+	"github.com/matryer/is"
+)
+
+// fleet drives an engine as agents and a store would.
+type fleet struct {
+	t        *testing.T
+	e        *Engine
+	now      time.Time
+	sequence uint64
+	ends     map[string]int
+	seen     []Decision
+}
+
+var testStart = time.Date(2027, 6, 1, 8, 0, 0, 0, time.UTC)
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, now: testStart, ends: make(map[string]int)}
+	f.e = New(f.config(), f.now)
+	return f
+}
+
+func (f *fleet) config() Config {
+	return Config{
+		LeaseLimit: 11 * time.Second, Retention: 2 * time.Minute, GangTimeout: 3 * time.Second, RackFactor: 3,
+		Reclaim:  2900 * time.Millisecond,
+		Decision: func(d Decision) { f.seen = append(f.seen, d) },
+	}
+}
+
+// workers reports n ready workers with 8 accelerators each, three to a rack.
+func (f *fleet) workers(n int) {
+	for i := range n {
+		f.report(node(i), nil, nil)
+	}
+}
+
+func node(i int) string { return fmt.Sprintf("node-%d", i) }
+
+func info(name string) wire.WorkerInfo {
+	var i int
+	_, _ = fmt.Sscanf(name, "node-%d", &i)
+	rack := fmt.Sprintf("rack-%d", i/3)
+	return wire.WorkerInfo{
+		Instance: "i-" + name, Born: 1, Service: "podcheck", Zone: "z", Rack: rack, Labels: []string{"a", rack},
+		Capacity: wire.Resources{CPU: 32000, Memory: 65536, Accelerators: 8}, State: wire.WorkerReady,
+	}
+}
+
+// report sends a report of a worker that runs what the engine has ordered to
+// it, but for the runs that end.
+func (f *fleet) report(name string, change func(*wire.WorkerReport), ends map[wire.TaskID]wire.RunEnd) {
+	f.sequence++
+	r := &wire.WorkerReport{Sequence: f.sequence, Node: name, Worker: info(name)}
+	if w := f.e.workers[name]; w != nil {
+		for id, run := range w.runs {
+			how, ended := ends[id]
+			if !ended {
+				r.Running = append(r.Running, wire.RunningTask{Task: id, Run: run.number})
+				continue
+			}
+			f.ends[name]++
+			r.Ended = append(r.Ended, wire.EndedRun{Number: f.ends[name], Task: id, Run: run.number, How: how})
+		}
+	}
+	if change != nil {
+		change(r)
+	}
+	f.e.Report(r, f.now)
+}
+
+// tick runs the systems and writes what they decide.
+func (f *fleet) tick() {
+	f.e.Tick(f.now)
+	f.commit()
+}
+
+func (f *fleet) commit() {
+	if b := f.e.Flush(); b != nil {
+		f.e.Committed(b)
+	}
+}
+
+func (f *fleet) job(id string, priority int, steps ...wire.JobStep) wire.Job {
+	return wire.Job{
+		ID: id, Queue: "q", Customer: "c", Service: "podcheck", Priority: priority, Attempts: 2,
+		Stretch: 3, Objective: time.Second, Accepted: f.now, Steps: steps,
+	}
+}
+
+func step(count, accelerators int) wire.JobStep {
+	return wire.JobStep{Count: count, Demand: wire.Resources{CPU: 1000, Memory: 1024, Accelerators: accelerators}}
+}
+
+func gang(count, accelerators int) wire.JobStep {
+	s := step(count, accelerators)
+	s.Gang = true
+	return s
+}
+
+// runs returns the active runs of a job by index of its first step's tasks.
+func (f *fleet) runs(id string) map[int]*run {
+	active := make(map[int]*run)
+	for _, s := range f.e.jobs[id].order {
+		for _, t := range s.tasks {
+			if t.run != nil {
+				active[t.index] = t.run
+			}
+		}
+	}
+	return active
+}
+
+func (f *fleet) state(id string) wire.JobState {
+	_, state, _ := f.e.State(id)
+	return state
+}
+
+// restart replaces the engine by one that reads what the first has written.
+func (f *fleet) restart() {
+	old := f.e
+	f.e = New(f.config(), f.now)
+	for _, j := range old.list {
+		p := j.progress()
+		f.e.Restore(j.Job, &p, f.now)
+	}
+}
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(2)
+	second := step(1, 1)
+	second.After = []int{0}
+	f.e.Submit(f.job("j", 1, step(2, 4), second), f.now)
+	is.Equal(f.state("j"), wire.JobQueued)
+	f.tick()
+	is.Equal(f.state("j"), wire.JobRunning)
+	is.Equal(len(f.runs("j")), 2)
+
+	for i := range 2 {
+		f.report(node(i), nil, map[wire.TaskID]wire.RunEnd{{Job: "j", Index: 0}: wire.EndDone, {Job: "j", Index: 1}: wire.EndDone})
+	}
+	f.tick()
+	is.Equal(f.e.jobs["j"].stages[stageKey{0, 1}].active, 1) // the second step has begun
+	for i := range 2 {
+		f.report(node(i), nil, map[wire.TaskID]wire.RunEnd{{Job: "j", Step: 1}: wire.EndDone})
+	}
+	is.Equal(f.state("j"), wire.JobRunning) // not shown before it is written
+	f.tick()
+	is.Equal(f.state("j"), wire.JobCompleted)
+}
+
+func TestOrdersWaitForTheirRows(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(1)
+	f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+	f.e.Tick(f.now)
+	o, ok := f.e.Orders(node(0))
+	is.True(ok)
+	is.Equal(len(o.Starts), 0) // the run is not written yet
+	f.commit()
+	o, _ = f.e.Orders(node(0))
+	is.Equal(len(o.Starts), 1)
+	f.report(node(0), nil, nil)
+	o, _ = f.e.Orders(node(0))
+	is.Equal(len(o.Starts), 0) // the worker lists it
+}
+
+func TestEndsAreAcknowledgedOnceWritten(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(1)
+	f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+	f.tick()
+	f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: wire.EndDone})
+	o, _ := f.e.Orders(node(0))
+	is.Equal(o.Acked, 0)
+	f.commit()
+	o, _ = f.e.Orders(node(0))
+	is.Equal(o.Acked, 1)
+}
+
+func TestRestoredRunsOfAnOlderLifetime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(1)
+	// A run of a cancelled job stays recorded on the worker's first lifetime.
+	f.e.Submit(f.job("old", 1, step(1, 1)), f.now)
+	f.tick()
+	f.e.Cancel("old", f.now)
+	f.commit()
+	reborn := func(r *wire.WorkerReport) { r.Worker.Instance, r.Worker.Born = "i-second", 2 }
+	f.report(node(0), func(r *wire.WorkerReport) {
+		reborn(r)
+		r.Running = nil
+	}, nil)
+	f.e.Submit(f.job("new", 1, step(1, 8)), f.now)
+	f.tick()
+	f.report(node(0), reborn, nil)
+	f.e.jobs["old"].order[0].tasks[0].run = &run{
+		task: f.e.jobs["old"].order[0].tasks[0], number: 1, worker: &Worker{WorkerInfo: info(node(0)), Node: node(0)},
+	}
+	f.e.jobs["old"].order[0].active = 1
+
+	f.restart()
+	f.report(node(0), func(r *wire.WorkerReport) {
+		reborn(r)
+		r.Running = []wire.RunningTask{{Task: wire.TaskID{Job: "new"}, Run: 1}}
+	}, nil)
+	is.Equal(f.runs("new")[0].number, 1) // the run on the second lifetime goes on
+	is.Equal(len(f.runs("old")), 0)      // that on the first is over
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -9,7 +9,10 @@
 // Report takes in what an agent says of its worker. A report that a newer one
 // of the same lifetime has overtaken changes nothing; it returns false.
 func (e *Engine) Report(r *wire.WorkerReport, now time.Time) bool {
-	w := e.lifetime(r, now)
+	w := e.workers[r.Node]
+	if w == nil || w.Instance != r.Worker.Instance || w.Born != r.Worker.Born {
+		w = e.lifetime(r, now)
+	}
 	if w == nil || r.Sequence <= w.sequence {
 		return false
 	}
@@ -62,24 +65,27 @@
 	}
 }
 
-// lifetime returns the row of the lifetime that a report tells of. The lifetime
-// before it beside the same agent is over.
+// lifetime returns the row of the lifetime that a report tells of, or nil if a
+// later one beside the same agent is known. Earlier ones are over.
 func (e *Engine) lifetime(r *wire.WorkerReport, now time.Time) *Worker {
-	w, ok := e.workers[r.Node]
-	if ok && w.Instance == r.Worker.Instance && w.Born == r.Worker.Born {
-		return w
-	}
-	if ok && w.Born > r.Worker.Born {
-		return nil // a late report of an earlier lifetime
-	}
-	for key, old := range e.workers {
-		if old.Node == r.Node {
-			e.lose(old, "worker_replaced", now)
+	var w *Worker
+	for key, other := range e.workers {
+		switch {
+		case other.Node != r.Node:
+		case other.Instance == r.Worker.Instance && other.Born == r.Worker.Born:
+			w = other
+			delete(e.workers, key)
+		case other.Born > r.Worker.Born:
+			return nil
+		default:
+			e.lose(other, "worker_replaced", now)
 			delete(e.workers, key)
 		}
 	}
-	w = newWorker(r.Node, now.Add(e.cfg.LeaseLimit))
-	w.WorkerInfo = r.Worker
+	if w == nil {
+		w = newWorker(r.Node, now.Add(e.cfg.LeaseLimit))
+		w.WorkerInfo = r.Worker
+	}
 	e.workers[r.Node] = w
 	e.sortWorkers()
 	return w
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -35,8 +35,10 @@
 	key  []byte
 	link *Link
 
-	mu     sync.Mutex
-	holder *holder // while this process is the scheduler
+	mu      sync.Mutex
+	holder  *holder // while this process is the scheduler
+	offered uint64  // epoch whose holder has asked to be replaced
+	offers  chan struct{}
 
 	stop     context.CancelFunc
 	done     chan struct{}
@@ -49,12 +51,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Candidate{
 		cfg: cfg, key: newKey(), stop: cancel,
-		done: make(chan struct{}), served: make(chan struct{}), listener: l,
+		offers: make(chan struct{}, 1),
+		done:   make(chan struct{}), served: make(chan struct{}), listener: l,
 	}
 	c.link = NewLink(LinkConfig{
 		Local:  wire.Hello{Role: wire.RoleEntry, Name: cfg.Node, Address: cfg.Address},
 		Store:  cfg.Store,
-		Handle: func(context.Context, *frame.Conn, wire.Message) wire.Message { return nil },
+		Handle: c.hear,
 		Log:    cfg.Log,
 	})
 	go func() {
@@ -108,6 +111,34 @@
 	return h.handle(conn, m)
 }
 
+// hear takes in a message of the scheduler.
+func (c *Candidate) hear(_ context.Context, _ *frame.Conn, m wire.Message) wire.Message {
+	if y, ok := m.(*wire.Yield); ok {
+		c.mu.Lock()
+		c.offered = max(c.offered, y.Epoch)
+		c.mu.Unlock()
+		select {
+		case c.offers <- struct{}{}:
+		default:
+		}
+	}
+	return nil
+}
+
+// refuseOffer forgets that a holder has asked to be replaced: this process does
+// not reach the store either.
+func (c *Candidate) refuseOffer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.offered = 0
+}
+
+func (c *Candidate) isOffered(epoch uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.offered >= max(epoch, 1)
+}
+
 // watch is what a candidate has seen of the lease.
 type watch struct {
 	lease    wire.SchedulerLease
@@ -134,6 +165,7 @@
 	cancel()
 	if err != nil {
 		seen.since = time.Now() // the holder may have been as far from the store
+		c.refuseOffer()
 		_ = sleep(ctx, jitter(pollUnlinked))
 		return
 	}
@@ -141,7 +173,7 @@
 	if revision != seen.revision || seen.since.IsZero() {
 		*seen = watch{lease: lease, revision: revision, since: now}
 	}
-	free := revision == 0 || lease.Released || lease.Holder == c.cfg.Node
+	free := revision == 0 || lease.Released || lease.Holder == c.cfg.Node || c.isOffered(lease.Epoch)
 	limit := staleLimit
 	if c.link.Conn() == nil {
 		limit = lostLimit
@@ -172,6 +204,7 @@
 	select {
 	case <-ctx.Done():
 	case <-t.C:
+	case <-c.offers:
 	case <-conn.Done():
 		_ = sleep(ctx, jitter(linkPause))
 	}
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -38,6 +38,7 @@
 	links     map[*frame.Conn]struct{}
 	tokens    uint64
 	confirmAt time.Time
+	yielding  bool // another entry is asked to take over
 	closed    bool
 }
 
@@ -178,7 +179,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.confirmAt = h.writer.confirmed
+	h.confirmAt, h.yielding = h.writer.confirmed, false
 	if batch != nil {
 		h.engine.Committed(batch)
 	}
@@ -188,14 +189,14 @@
 	return nil
 }
 
-// write writes a batch. While the store does not answer, links are dropped once
-// the lease is no longer confirmed. A write that is under way at a stop gets
+// write writes a batch. While the store does not answer, another entry is asked
+// to take over. A write that is under way at a stop gets
 // some time to end, since its outcome must be known to release the lease.
 func (h *holder) write(ctx context.Context, writes []platform.Write) error {
 	start := time.Now()
 	ctx, cancel := lingering(ctx, releaseLimit)
 	defer cancel()
-	t := time.AfterFunc(ConfirmLimit, h.dropLinks)
+	t := time.AfterFunc(yieldAfter, h.yield)
 	defer t.Stop()
 	err := h.writer.write(ctx, writes)
 	h.cfg.Metrics.observeCommit(time.Since(start), len(writes), err)
@@ -276,7 +277,33 @@
 func (h *holder) confirmed() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return time.Since(h.confirmAt) <= ConfirmLimit
+	return time.Since(h.confirmAt) <= ConfirmLimit && !h.yielding
+}
+
+// yield asks the other entries to take over and lets agents look for them. This
+// process stays the scheduler until one of them has.
+func (h *holder) yield() {
+	h.mu.Lock()
+	h.yielding = true
+	for c := range h.links {
+		if c.Peer().Role == wire.RoleEntry {
+			_ = c.Send(&wire.Yield{Epoch: h.writer.lease.Epoch}) // a lost link says as much
+		}
+	}
+	h.mu.Unlock()
+	h.cfg.Log.Warn().Uint64("epoch", h.writer.lease.Epoch).Msg("lease_offered")
+	h.dropAgents()
+}
+
+// dropAgents ends the connections of agents.
+func (h *holder) dropAgents() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for node, a := range h.agents {
+		a.conn.Close()
+		delete(h.links, a.conn)
+		delete(h.agents, node)
+	}
 }
 
 // join notes a new connection of an agent or entry.
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -36,6 +36,11 @@
 	retryMin      = 50 * time.Millisecond   // after a refused transaction
 	retryMax      = 500 * time.Millisecond
 
+	// yieldAfter is the time without a written transaction after which the
+	// holder asks another entry to take over. A slow store answers within it
+	// or leaves all entries equally slow.
+	yieldAfter = 600 * time.Millisecond
+
 	// ConfirmLimit is the age of the last written lease up to which the
 	// holder grants agents the right to renew their workers' leases.
 	ConfirmLimit = 3 * time.Second
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -248,3 +248,9 @@
 type QueueAnswer struct {
 	Pending int `msg:"pending"`
 }
+
+// Yield tells entries that the scheduler cannot reach the store, so that one
+// that can takes its place.
+type Yield struct {
+	Epoch uint64 `msg:"epoch"`
+}
--- a/io/wire/kind.go
+++ b/io/wire/kind.go
@@ -39,6 +39,7 @@
 	KindJobAnswer
 	KindQueueQuery
 	KindQueueAnswer
+	KindYield
 )
 
 // Message is a message of the schema.
@@ -88,6 +89,7 @@
 	KindJobAnswer:    func() Message { return new(JobAnswer) },
 	KindQueueQuery:   func() Message { return new(QueueQuery) },
 	KindQueueAnswer:  func() Message { return new(QueueAnswer) },
+	KindYield:        func() Message { return new(Yield) },
 }
 
 // Make returns an empty message of kind k.
@@ -182,3 +184,6 @@
 
 // Kind returns the kind of the message.
 func (*QueueAnswer) Kind() Kind { return KindQueueAnswer }
+
+// Kind returns the kind of the message.
+func (*Yield) Kind() Kind { return KindYield }
