Notice a crashed worker at once, stop runs that stand still, tell entries of renewals

Ruled out: the leave announcement (none is sent at a crash). Change: three refused connections on the agent's own machine are a crash; 3.5 s of reports without progress stop a run; the holder tells entries of each write.

--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -89,12 +89,14 @@
 	phase    phase
 	change   uint64 // of the job that records the run
 	placed   time.Time
-	began    time.Time // when the worker listed it first
-	saved    time.Time // when its checkpoint last changed
-	percent  int       // of the work that is done
-	first    int       // percent when the worker listed it first
-	progress time.Time // when percent last grew
-	cause    string    // of the stop
+	began    time.Time     // when the worker listed it first
+	saved    time.Time     // when its checkpoint last changed
+	percent  int           // of the work that is done
+	first    int           // percent when the worker listed it first
+	progress time.Time     // when percent last grew
+	stalled  time.Duration // the worker has listed it for so long without progress
+	listed   time.Time     // newest report that listed it
+	cause    string        // of the stop
 }
 
 func (t *task) id() wire.TaskID {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -146,8 +146,12 @@
 		r.worker.dirty = true
 	}
 	if t.Percent != r.percent {
-		r.percent, r.progress = t.Percent, now
+		r.percent, r.progress, r.stalled = t.Percent, now, 0
+	} else if !r.listed.IsZero() {
+		r.stalled += min(now.Sub(r.listed), stallStep)
 	}
+	r.listed = now
+	e.checkStall(r, now)
 	if t.Checkpoint != "" && t.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint, r.saved = t.Checkpoint, now
 		if r.task.stage.step.Gang {
@@ -156,6 +160,30 @@
 	}
 }
 
+// Times of a run that stands still.
+const (
+	// stallLimit is several times one percent of the longest work of the
+	// users, and of the interval of reports.
+	stallLimit = 3500 * time.Millisecond
+
+	// stallStep bounds what one report adds: the worker may have been
+	// suspended between two.
+	stallStep = time.Second
+)
+
+// checkStall stops a run that stands still, since others would do its work. A
+// run of long-running work shows no progress.
+func (e *Engine) checkStall(r *run, now time.Time) {
+	if r.phase == stopping || r.stalled < stallLimit || r.task.stage.step.LongRunning {
+		return
+	}
+	j := r.task.stage.job
+	e.decide(Decision{What: "stalled", Job: j.ID, Task: r.task.id(), Run: r.number, Worker: r.worker.Node, Reason: "no_progress", Age: now.Sub(r.progress)})
+	r.worker.health.failed(j.ID, now)
+	r.task.avoid = r.worker
+	e.stopWhole(r, "stalled")
+}
+
 // share gives all members of a gang the same checkpoint.
 func (s *stage) share(checkpoint string) {
 	for _, t := range s.tasks {
--- a/io/frame/conn.go
+++ b/io/frame/conn.go
@@ -26,7 +26,7 @@
 	HandshakeTimeout = 2 * time.Second
 	ReadTimeout      = 2500 * time.Millisecond
 	WriteTimeout     = 2 * time.Second
-	KeepAlive        = 300 * time.Millisecond
+	KeepAlive        = 200 * time.Millisecond
 
 	quiescePoll = 5 * time.Millisecond
 
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -37,7 +37,8 @@
 
 	mu      sync.Mutex
 	holder  *holder // while this process is the scheduler
-	offered uint64  // epoch whose holder has asked to be replaced
+	told    renewal
+	offered uint64 // epoch whose holder has asked to be replaced
 	offers  chan struct{}
 
 	stop     context.CancelFunc
@@ -113,10 +114,13 @@
 
 // hear takes in a message of the scheduler.
 func (c *Candidate) hear(_ context.Context, _ *frame.Conn, m wire.Message) wire.Message {
-	if y, ok := m.(*wire.Yield); ok {
-		c.mu.Lock()
-		c.offered = max(c.offered, y.Epoch)
-		c.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch v := m.(type) {
+	case *wire.Renewed:
+		c.told = renewal{Renewed: *v, at: time.Now()}
+	case *wire.Yield:
+		c.offered = max(c.offered, v.Epoch)
 		select {
 		case c.offers <- struct{}{}:
 		default:
@@ -125,6 +129,19 @@
 	return nil
 }
 
+// renewal is the newest write of the lease that its holder has told of.
+type renewal struct {
+	wire.Renewed
+	at time.Time
+}
+
+// toldAt returns when the holder has told of the very write that made a lease.
+func (c *Candidate) toldAt(l wire.SchedulerLease) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.told.at, c.told.Epoch == l.Epoch && c.told.Sequence == l.Sequence
+}
+
 // refuseOffer forgets that a holder has asked to be replaced: this process does
 // not reach the store either.
 func (c *Candidate) refuseOffer() {
@@ -172,6 +189,9 @@
 	now := time.Now()
 	if revision != seen.revision || seen.since.IsZero() {
 		*seen = watch{lease: lease, revision: revision, since: now}
+		if at, ok := c.toldAt(lease); ok {
+			seen.since = at
+		}
 	}
 	free := revision == 0 || lease.Released || lease.Holder == c.cfg.Node || c.isOffered(lease.Epoch)
 	limit := staleLimit
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -179,6 +179,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.confirmAt != h.writer.confirmed {
+		h.tellEntries(&wire.Renewed{Epoch: h.writer.lease.Epoch, Sequence: h.writer.lease.Sequence})
+	}
 	h.confirmAt, h.yielding = h.writer.confirmed, false
 	if batch != nil {
 		h.engine.Committed(batch)
@@ -285,16 +288,26 @@
 func (h *holder) yield() {
 	h.mu.Lock()
 	h.yielding = true
-	for c := range h.links {
-		if c.Peer().Role == wire.RoleEntry {
-			_ = c.Send(&wire.Yield{Epoch: h.writer.lease.Epoch}) // a lost link says as much
-		}
-	}
+	h.tellEntries(&wire.Yield{Epoch: h.writer.lease.Epoch})
 	h.mu.Unlock()
 	h.cfg.Log.Warn().Uint64("epoch", h.writer.lease.Epoch).Msg("lease_offered")
 	h.dropAgents()
 }
 
+// tellEntries sends a message to the entries. One whose link is lost reads the
+// lease itself.
+func (h *holder) tellEntries(m wire.Message) {
+	for c := range h.links {
+		if c.Closed() {
+			delete(h.links, c)
+		} else if c.Peer().Role == wire.RoleEntry {
+			if err := c.Send(m); err != nil {
+				h.cfg.Log.Debug().Str("entry", c.Peer().Name).Err(err).Msg("message_not_sent")
+			}
+		}
+	}
+}
+
 // dropAgents ends the connections of agents.
 func (h *holder) dropAgents() {
 	h.mu.Lock()
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -254,3 +254,10 @@
 type Yield struct {
 	Epoch uint64 `msg:"epoch"`
 }
+
+// Renewed tells entries that the scheduler has just written its lease, so that
+// they know from when on it has not.
+type Renewed struct {
+	Epoch    uint64 `msg:"epoch"`
+	Sequence uint64 `msg:"sequence"`
+}
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -1051,6 +1051,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Renewed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "epoch"
+	o = append(o, 0x82, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "sequence"
+	o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendUint64(o, z.Sequence)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Renewed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "sequence":
+			z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sequence")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Renewed) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 9 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Resources) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/io/wire/kind.go
+++ b/io/wire/kind.go
@@ -40,6 +40,7 @@
 	KindQueueQuery
 	KindQueueAnswer
 	KindYield
+	KindRenewed
 )
 
 // Message is a message of the schema.
@@ -90,6 +91,7 @@
 	KindQueueQuery:   func() Message { return new(QueueQuery) },
 	KindQueueAnswer:  func() Message { return new(QueueAnswer) },
 	KindYield:        func() Message { return new(Yield) },
+	KindRenewed:      func() Message { return new(Renewed) },
 }
 
 // Make returns an empty message of kind k.
@@ -187,3 +189,6 @@
 
 // Kind returns the kind of the message.
 func (*Yield) Kind() Kind { return KindYield }
+
+// Kind returns the kind of the message.
+func (*Renewed) Kind() Kind { return KindRenewed }
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -44,6 +44,7 @@
 	wg    sync.WaitGroup
 	fresh chan struct{} // asks for a look at the worker at once
 	acks  chan struct{} // ends have been acknowledged
+	downs int           // calls in a row that found no worker; of the hold loop
 
 	mu        sync.Mutex
 	info      wire.WorkerInfo
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -66,9 +66,10 @@
 	stop()
 	cancel()
 	if err != nil {
-		a.holdFailed(ctx, err)
+		a.holdFailed(ctx, err, life)
 		return
 	}
+	a.downs = 0
 	a.take(reply, o, sent, life)
 }
 
@@ -122,8 +123,14 @@
 	a.take(reply, o, sent, life)
 }
 
-func (a *Agent) holdFailed(ctx context.Context, err error) {
+func (a *Agent) holdFailed(ctx context.Context, err error, life uint64) {
 	var refused *RefusedError
+	var down *DownError
+	if errors.As(err, &down) {
+		a.down(life)
+	} else {
+		a.downs = 0
+	}
 	if errors.As(err, &refused) {
 		a.cfg.Log.Debug().Str("reason", refused.Reason).Msg("hold_refused")
 	} else {
@@ -132,6 +139,25 @@
 	a.pause(ctx, retryPause, nil)
 }
 
+// downLimit is the number of calls in a row that find no process at the
+// worker's address, after which it is taken to have crashed.
+const downLimit = 3
+
+// down takes in that the worker's process is not there.
+func (a *Agent) down(life uint64) {
+	if a.downs++; a.downs < downLimit {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.life != life || a.info.State == wire.WorkerGone {
+		return
+	}
+	a.info.State = wire.WorkerGone
+	a.cfg.Log.Warn().Str("instance", a.info.Instance).Int("calls", a.downs).Msg("worker_down")
+	a.report()
+}
+
 // take takes in the answer to a hold. Answers may overtake each other.
 func (a *Agent) take(reply HoldReply, o HoldOrder, sent time.Time, life uint64) {
 	a.mu.Lock()
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -70,6 +70,16 @@
 // Error describes the refusal.
 func (e *RefusedError) Error() string { return fmt.Sprintf("worker refused: %s", e.Reason) }
 
+// DownError tells that no process listens at the worker's address. The worker
+// is on the agent's own machine, so nothing that it ran is left.
+type DownError struct{ Cause error }
+
+// Error describes the failure.
+func (e *DownError) Error() string { return "worker is down: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *DownError) Unwrap() error { return e.Cause }
+
 // Reasons of a RefusedError that the agent tells apart.
 const (
 	ReasonOtherLife = "other_lifetime"
