--- a/core/job/report.go
+++ b/core/job/report.go
@@ -164,7 +164,7 @@
 const (
 	// stallLimit is several times one percent of the longest work of the
 	// users, and of the interval of reports.
-	stallLimit = 3500 * time.Millisecond
+	stallLimit = 2200 * time.Millisecond
 
 	// stallStep bounds what one report adds: the worker may have been
 	// suspended between two.
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -34,7 +34,7 @@
 	pollUnlinked  = 250 * time.Millisecond  // while it does not
 	commitTimeout = 1500 * time.Millisecond // several times an answer of a slow store
 	retryMin      = 50 * time.Millisecond   // after a refused transaction
-	retryMax      = 500 * time.Millisecond
+	retryMax      = 200 * time.Millisecond
 
 	// yieldAfter is the time without a written transaction after which the
 	// holder asks another entry to take over. A slow store answers within it
