Reserve room for what finds too little, and yield on refusals

Change: stages that find too little room reserve what will be there first; hopeless stages go last; a holder yields after 0.25 s of refusals or 1.3 s of silence; waiting stages are logged with the reason.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -45,18 +45,20 @@
 
 // Engine is the state of the scheduler. It is not safe for concurrent use.
 type Engine struct {
-	cfg        Config
-	jobs       map[string]*Job
-	list       []*Job // in the order of acceptance
-	workers    map[string]*Worker
-	order      []*Worker // by rack and node
-	guaranteed map[string]int
-	dirty      []*Job
-	expired    []*Job // whose rows are to be deleted
-	learned    map[string]*runTimes
-	holding    map[*stage]struct{} // stages that hold room for themselves
-	inUse      map[string]int      // accelerators of urgent work, by customer
-	since      time.Time
+	cfg          Config
+	jobs         map[string]*Job
+	list         []*Job // in the order of acceptance
+	workers      map[string]*Worker
+	order        []*Worker // by rack and node
+	guaranteed   map[string]int
+	dirty        []*Job
+	expired      []*Job // whose rows are to be deleted
+	learned      map[string]*runTimes
+	holding      map[*stage]struct{}     // stages that hold room for themselves
+	reserved     map[*stage]*reservation // room that later stages of this tick leave free
+	reservations int                     // of this tick
+	inUse        map[string]int          // accelerators of urgent work, by customer
+	since        time.Time
 }
 
 // New returns an engine without jobs or workers. now is the time from which on
@@ -70,6 +72,7 @@
 		learned:    make(map[string]*runTimes),
 		inUse:      make(map[string]int),
 		holding:    make(map[*stage]struct{}),
+		reserved:   make(map[*stage]*reservation),
 		since:      now,
 	}
 }
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -42,6 +42,7 @@
 	ready    time.Time
 	first    time.Time // when its first task was ordered
 	retry    time.Time // not placed before this time
+	why      string    // why it waits
 	held     map[*Worker]int
 	holdEnd  time.Time
 }
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -168,7 +168,7 @@
 
 // evict returns the runs to stop on a worker so that it has room for d.
 func (e *Engine) evict(w *Worker, s *stage, d wire.Resources, stoppable func(*run) bool, now time.Time) ([]*run, float64, bool) {
-	free := e.free(w, s)
+	free := e.free(w, s, now)
 	var victims []victim
 	for _, r := range w.runs {
 		if r.phase == stopping {
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	e.expireWorkers(now)
 	e.openDue(now)
 	queue := e.queue(now)
+	clear(e.reserved)
+	e.reservations = 0
 	for _, s := range queue {
 		e.place(s, now)
 	}
@@ -68,7 +71,7 @@
 	}
 	rank := make(map[*stage]float64, len(queue))
 	for _, s := range queue {
-		rank[s] = e.rank(s)
+		rank[s] = e.rank(s, now)
 	}
 	slices.SortStableFunc(queue, func(a, b *stage) int {
 		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), cmp.Compare(rank[a], rank[b]))
@@ -76,12 +79,19 @@
 	return queue
 }
 
-// rank orders stages of one priority: by the time until their objective is
-// missed.
-func (e *Engine) rank(s *stage) float64 {
-	return s.job.Accepted.Sub(e.since).Seconds()
+// rank orders stages of one priority by the acceptance of their jobs. What can
+// no longer be worth anything goes last.
+func (e *Engine) rank(s *stage, now time.Time) float64 {
+	rank := s.job.Accepted.Sub(e.since).Seconds()
+	if !s.step.LongRunning && now.Add(e.runTime(s)).After(e.worthless(s)) {
+		return hopeless + rank
+	}
+	return rank
 }
 
+// hopeless is a rank after all others, in seconds.
+const hopeless = 1e6
+
 // place looks for workers for a stage and orders its tasks there.
 func (e *Engine) place(s *stage, now time.Time) {
 	if !s.holdEnd.IsZero() && now.After(s.holdEnd) {
@@ -92,17 +102,54 @@
 	if s.step.Gang {
 		if chosen := e.fitGang(s, c, len(tasks), now); chosen != nil {
 			e.startRuns(s, tasks, chosen, now)
+			s.why = ""
 			return
 		}
 	} else {
 		tasks = e.placeEach(s, tasks, c, now)
 		if len(tasks) == 0 {
+			s.why = ""
 			return
 		}
 	}
+	e.explainWait(s, c, len(tasks), now)
 	if s.job.Priority == 0 && s.held == nil {
 		e.reclaim(s, tasks, now)
 	}
+	e.reserve(s, len(tasks), now)
+}
+
+// explainWait notes why tasks of a stage wait, when that changes.
+func (e *Engine) explainWait(s *stage, c []candidate, n int, now time.Time) {
+	room, near, eligible := 0, 0, 0
+	for _, x := range c {
+		room += min(x.room, n)
+		if x.near {
+			near += min(x.room, n)
+		}
+	}
+	for _, w := range e.order {
+		if e.eligible(w, s, now) {
+			eligible++
+		}
+	}
+	why := "too_little_room_together"
+	switch {
+	case eligible == 0:
+		why = "no_worker"
+	case room == 0:
+		why = "no_room"
+	case near == 0:
+		why = "no_room_near_data"
+	}
+	if why == s.why {
+		return
+	}
+	s.why = why
+	e.decide(Decision{
+		What: "wait", Job: s.job.ID, Task: wire.TaskID{Job: s.job.ID, Occurrence: s.key.occurrence, Step: s.key.step},
+		Reason: fmt.Sprintf("%s:tasks=%d,room=%d,near=%d,workers=%d", why, n, room, near, eligible), Age: now.Sub(s.job.Accepted),
+	})
 }
 
 // candidate is a worker that may run tasks of a stage, and how many.
@@ -119,7 +166,7 @@
 		if !e.eligible(w, s, now) {
 			continue
 		}
-		n := min(fits(e.free(w, s), demand(s.step)), e.spreadLeft(w, s))
+		n := min(fits(e.free(w, s, now), demand(s.step)), e.spreadLeft(w, s))
 		if n > 0 {
 			c = append(c, candidate{w: w, room: n, near: s.step.DataRack == "" || s.step.DataRack == w.Rack})
 		}
@@ -150,7 +197,7 @@
 
 // free returns what the worker has left for a stage: what others hold for
 // themselves is not free.
-func (e *Engine) free(w *Worker, s *stage) wire.Resources {
+func (e *Engine) free(w *Worker, s *stage, now time.Time) wire.Resources {
 	free := sub(w.Capacity, w.used)
 	for _, d := range w.strays {
 		free = sub(free, d)
@@ -160,6 +207,11 @@
 			free = sub(free, times(demand(h.step), n))
 		}
 	}
+	for h, r := range e.reserved {
+		if n := r.use[w]; n > 0 && h != s && now.Add(e.runTime(s)).After(r.at) {
+			free = sub(free, times(demand(h.step), n))
+		}
+	}
 	return free
 }
 
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -52,7 +52,7 @@
 }
 
 func newHolder(cfg Config, w *writer) *holder {
-	return &holder{
+	h := &holder{
 		cfg:       cfg,
 		writer:    w,
 		wake:      make(chan struct{}, 1),
@@ -61,6 +61,12 @@
 		links:     make(map[*frame.Conn]struct{}),
 		confirmAt: w.confirmed,
 	}
+	w.refused = func(since time.Duration) {
+		if since >= yieldRefused {
+			h.yield()
+		}
+	}
+	return h
 }
 
 // load reads what earlier schedulers have recorded.
@@ -287,6 +293,10 @@
 // process stays the scheduler until one of them has.
 func (h *holder) yield() {
 	h.mu.Lock()
+	if h.yielding {
+		h.mu.Unlock()
+		return
+	}
 	h.yielding = true
 	h.tellEntries(&wire.Yield{Epoch: h.writer.lease.Epoch})
 	h.mu.Unlock()
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -37,9 +37,12 @@
 	retryMax      = 200 * time.Millisecond
 
 	// yieldAfter is the time without a written transaction after which the
-	// holder asks another entry to take over. A slow store answers within it
-	// or leaves all entries equally slow.
-	yieldAfter = 600 * time.Millisecond
+	// holder asks another entry to take over, if it gets no answer at all: a
+	// store that is slow a hundred times answers within it.
+	yieldAfter = 1300 * time.Millisecond
+
+	// yieldRefused is the same, if the store turns the holder away.
+	yieldRefused = 250 * time.Millisecond
 
 	// ConfirmLimit is the age of the last written lease up to which the
 	// holder grants agents the right to renew their workers' leases.
@@ -88,6 +91,7 @@
 // writer writes the holder's transactions one after another.
 type writer struct {
 	store     platform.Store
+	refused   func(since time.Duration) // told of each failed try; may be nil
 	lease     wire.SchedulerLease
 	revision  uint64
 	confirmed time.Time // when the newest written transaction was sent
@@ -115,6 +119,7 @@
 		Writes:     append([]platform.Write{{Key: leaseKey, Value: value}}, writes...),
 	}
 	pause := retryMin
+	start := time.Now()
 	for {
 		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
@@ -127,6 +132,9 @@
 		if done, err := w.resolve(err, sent); done {
 			return err
 		}
+		if w.refused != nil {
+			w.refused(time.Since(start))
+		}
 		if err := sleep(ctx, jitter(pause)); err != nil {
 			return err
 		}
