Let slow runs show progress at their own speed, and reload on SIGHUP

Change: a run may show no progress for two percent at its own speed and 2.2 s; SIGHUP reads the settings again. TestStalledRuns failed before.

--- a/core/job/report.go
+++ b/core/job/report.go
@@ -162,19 +162,36 @@
 
 // Times of a run that stands still.
 const (
-	// stallLimit is several times one percent of the longest work of the
-	// users, and of the interval of reports.
+	// stallLimit is several intervals of an agent's reports.
 	stallLimit = 2200 * time.Millisecond
 
 	// stallStep bounds what one report adds: the worker may have been
 	// suspended between two.
 	stallStep = time.Second
+
+	// longestRun is how many mean run times the longest runs take.
+	longestRun = 10
+
+	// stallPercents is how many percent of its work a run could have done
+	// while it shows no progress.
+	stallPercents = 2
 )
 
+// stallTime returns for how long a run may show no progress. Its own speed tells
+// how long a percent takes; before it has shown any, the longest run away from
+// its data does.
+func (e *Engine) stallTime(r *run) time.Duration {
+	percent := time.Duration(longestRun*e.cfg.RackFactor*float64(e.runTime(r.task.stage))) / 100
+	if gain := r.percent - r.first; gain > 0 {
+		percent = r.progress.Sub(r.began) / time.Duration(gain)
+	}
+	return stallLimit + stallPercents*percent
+}
+
 // checkStall stops a run that stands still, since others would do its work. A
 // run of long-running work shows no progress.
 func (e *Engine) checkStall(r *run, now time.Time) {
-	if r.phase == stopping || r.stalled < stallLimit || r.task.stage.step.LongRunning {
+	if r.phase == stopping || r.task.stage.step.LongRunning || r.stalled < e.stallTime(r) {
 		return
 	}
 	j := r.task.stage.job
--- /dev/null
+++ b/core/job/stall_test.go
@@ -0,0 +1,60 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"bramleythread/io/wire"
+
+	"github.com/matryer/is"
+)
+
+func TestStalledRuns(t *testing.T) {
+	tests := map[string]struct {
+		step    wire.JobStep
+		percent func(elapsed time.Duration) int
+		stopped bool
+	}{
+		"at full speed": {
+			step:    step(1, 1),
+			percent: func(d time.Duration) int { return int(d / (70 * time.Millisecond)) },
+		},
+		"ten times longer, away from its data": {
+			step:    step(1, 1),
+			percent: func(d time.Duration) int { return int(d / (3 * time.Second)) },
+		},
+		"stands still from the start": {
+			step:    step(1, 1),
+			percent: func(time.Duration) int { return 0 },
+			stopped: true,
+		},
+		"stands still after a second": {
+			step:    step(1, 1),
+			percent: func(d time.Duration) int { return int(min(d, time.Second) / (70 * time.Millisecond)) },
+			stopped: true,
+		},
+		"long-running work shows no progress": {
+			step:    wire.JobStep{Count: 1, LongRunning: true, Demand: wire.Resources{CPU: 1}},
+			percent: func(time.Duration) int { return 100 },
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.workers(1)
+			f.e.Submit(f.job("j", 1, tt.step), f.now)
+			f.tick()
+			start := f.now
+			for range 16 {
+				f.now = f.now.Add(500 * time.Millisecond)
+				f.report(node(0), func(r *wire.WorkerReport) {
+					for i := range r.Running {
+						r.Running[i].Percent = tt.percent(f.now.Sub(start))
+					}
+				}, nil)
+			}
+			is.Equal(f.runs("j")[0].phase == stopping, tt.stopped)
+		})
+	}
+}
--- a/io/caller/door.go
+++ b/io/caller/door.go
@@ -24,12 +24,23 @@
 
 // Door decides which requests are let in.
 type Door struct {
-	Catalog         *Catalog
-	Health          *platform.Health
-	RevocationLimit time.Duration // a withdrawn token may be accepted for so long
-	stopping        atomic.Bool
+	catalog    *Catalog
+	health     *platform.Health
+	revocation atomic.Int64 // a withdrawn token may be accepted for so long, in nanoseconds
+	stopping   atomic.Bool
 }
 
+// NewDoor returns a door that lets in what a catalog allows. A withdrawn token
+// may be accepted for the time of revocation.
+func NewDoor(c *Catalog, h *platform.Health, revocation time.Duration) *Door {
+	d := &Door{catalog: c, health: h}
+	d.SetRevocationLimit(revocation)
+	return d
+}
+
+// SetRevocationLimit changes the time for which a withdrawn token may be accepted.
+func (d *Door) SetRevocationLimit(limit time.Duration) { d.revocation.Store(int64(limit)) }
+
 // Admission is a request that is let in.
 type Admission struct {
 	Queue    job.Queue
@@ -61,8 +72,8 @@
 // Open lets a request in. A token is honoured, and a queue or token said not to
 // exist, only while the configuration is known to be fresh.
 func (d *Door) Open(host, path, token string) (Admission, error) {
-	c, age := d.Catalog.Get()
-	if c == nil || age > d.RevocationLimit-tokenMargin {
+	c, age := d.catalog.Get()
+	if c == nil || age > time.Duration(d.revocation.Load())-tokenMargin {
 		return Admission{}, &StaleError{Age: age}
 	}
 	q := c.Route(host, path)
@@ -88,9 +99,9 @@
 // Ready reports whether the entry wants requests: it can accept jobs only while
 // the store answers.
 func (d *Door) Ready() bool {
-	if since, failing := d.Health.Failing(); failing && since > storeGrace {
+	if since, failing := d.health.Failing(); failing && since > storeGrace {
 		return false
 	}
-	c, age := d.Catalog.Get()
+	c, age := d.catalog.Get()
 	return c != nil && age <= readyAge && !d.stopping.Load()
 }
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -37,10 +37,17 @@
 		return nil, &UsageError{Reason: adapter.SettingsVariable + " is not set"}
 	}
 	s, err := adapter.LoadSettings(path)
-	if err == nil && s.MemoryBytes > 0 {
+	if err != nil {
+		return nil, err
+	}
+	limitMemory(s)
+	return s, nil
+}
+
+func limitMemory(s *adapter.Settings) {
+	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
-	return s, err
 }
 
 // runOnPlatform runs a role on the users' platform, with its log on standard
@@ -51,7 +58,38 @@
 		return err
 	}
 	log := logfmt.New(env.Stdout, zerolog.InfoLevel, func(int) {})
-	return runProcess(log, func() (process, error) { return start(s, log.Logger) })
+	return runProcess(log, func() (process, error) {
+		p, err := start(s, log.Logger)
+		if err != nil {
+			return nil, err
+		}
+		return &booted{process: p, env: env, settings: *s, log: log.Logger}, nil
+	})
+}
+
+// booted is a process on the users' platform whose settings may change.
+type booted struct {
+	process
+	env      Env
+	settings adapter.Settings
+	log      zerolog.Logger
+}
+
+// reload reads the settings again. The limits of memory and of withdrawn tokens
+// change at once, addresses at the next start.
+func (b *booted) reload() error {
+	s, err := bootSettings(b.env)
+	if err != nil {
+		return err
+	}
+	if e, ok := b.process.(*jobEntry); ok {
+		e.door.SetRevocationLimit(s.RevocationLimit)
+	}
+	if *s != b.settings {
+		b.log.Info().Stringer("store", s.Store).Stringer("callers", s.Callers).Dur("revocation_limit", s.RevocationLimit).Msg("settings_changed")
+	}
+	b.settings = *s
+	return nil
 }
 
 // jobEntry is an entry on the users' platform.
@@ -76,7 +114,7 @@
 	p.catalog = caller.FollowCatalog(caller.CatalogConfig{
 		Store: store, Health: health, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration,
 	})
-	p.door = &caller.Door{Catalog: p.catalog, Health: health, RevocationLimit: s.RevocationLimit}
+	p.door = caller.NewDoor(p.catalog, health, s.RevocationLimit)
 	p.candidate = scheduler.Start(scheduler.Config{
 		Node: s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
 		Guarantees: p.catalog.Guarantees,
--- a/io/operator/run.go
+++ b/io/operator/run.go
@@ -18,6 +18,11 @@
 	kill() // at once
 }
 
+// reloader is a process that takes in changed settings while it runs.
+type reloader interface {
+	reload() error
+}
+
 // loadSettings reads the settings file of a role.
 func loadSettings(role config.Role, file string) (*config.Settings, error) {
 	if file == "" {
@@ -45,11 +50,14 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	p, err := start()
 	if err != nil {
 		return eris.Wrap(err, "start")
 	}
-	s := <-signals
+	s := waitSignal(log, p, signals, hangups)
 	log.Info().Str("signal", s.String()).Msg("stopping")
 	stopped := make(chan struct{})
 	go func() {
@@ -65,3 +73,31 @@
 	log.Info().Msg("stopped")
 	return nil
 }
+
+// waitSignal waits for a signal that stops the process, and reloads the settings
+// on others.
+func waitSignal(log *logfmt.Logger, p process, signals, hangups <-chan os.Signal) os.Signal {
+	for {
+		select {
+		case s := <-signals:
+			return s
+		case <-hangups:
+			reload(log, p)
+		}
+	}
+}
+
+// reload takes in changed settings. Settings that cannot be read leave the
+// process as it is.
+func reload(log *logfmt.Logger, p process) {
+	r, ok := p.(reloader)
+	if !ok {
+		log.Info().Msg("reload_not_supported")
+		return
+	}
+	if err := r.reload(); err != nil {
+		log.Error().Err(err).Msg("reload_failed")
+		return
+	}
+	log.Info().Msg("reloaded")
+}
