Count fresh looks only as a stall, repeat lost holds at once, weigh last-minute preemption

Change: reports carry the time of the look; after a lost hold the next ones do not wait; last-minute preemption must not lose more than the urgent job's own work. TestOldLooksAreNoStall failed before.

--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -59,7 +59,7 @@
 // it, but for the runs that end.
 func (f *fleet) report(name string, change func(*wire.WorkerReport), ends map[wire.TaskID]wire.RunEnd) {
 	f.sequence++
-	r := &wire.WorkerReport{Sequence: f.sequence, Node: name, Worker: info(name)}
+	r := &wire.WorkerReport{Sequence: f.sequence, Node: name, Looked: f.now.Sub(testStart) + time.Second, Worker: info(name)}
 	if w := f.e.workers[name]; w != nil {
 		for id, run := range w.runs {
 			how, ended := ends[id]
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -96,7 +96,7 @@
 	first    int           // percent when the worker listed it first
 	progress time.Time     // when percent last grew
 	stalled  time.Duration // the worker has listed it for so long without progress
-	listed   time.Time     // newest report that listed it
+	listed   time.Duration // newest look at the worker that listed it, on the agent's clock
 	cause    string        // of the stop
 }
 
@@ -117,6 +117,7 @@
 	known    bool // its agent has reported it to this scheduler
 	heard    time.Time
 	sequence uint64
+	looked   time.Duration  // newest look at what runs, on the agent's clock
 	used     wire.Resources // by runs, also by those that stop
 	strays   map[wire.TaskRun]wire.Resources
 	runs     map[wire.TaskID]*run
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -41,7 +41,7 @@
 		}
 	}
 	best := e.cheapest(s, len(tasks), stoppable, now)
-	if best == nil {
+	if best == nil || reason == "last_minute" && best.lost > e.ownWork(s, len(tasks)) {
 		return
 	}
 	for _, r := range best.victims {
@@ -50,6 +50,12 @@
 	e.hold(s, best.use, now.Add(holdTime))
 }
 
+// ownWork returns the core-seconds that n tasks of a stage take. Work beyond a
+// guarantee must not cost more than it does.
+func (e *Engine) ownWork(s *stage, n int) float64 {
+	return e.runTime(s).Seconds() * cores(s.step.Demand) * float64(n)
+}
+
 // lastMinute is the time before a job is worth nothing at which it may stop work
 // that loses by it: a stop, a start and the spread of run times.
 const lastMinute = 1500 * time.Millisecond
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -32,6 +32,7 @@
 			w.health.refused(now)
 		}
 	}
+	w.looked = r.Looked
 	e.takeRunning(w, r.Running, now)
 	if w.State == wire.WorkerDraining {
 		e.drain(w, now)
@@ -61,7 +62,7 @@
 // of its reports begin anew.
 func (e *Engine) NewLink(node string) {
 	if w, ok := e.workers[node]; ok {
-		w.sequence = 0
+		w.sequence, w.looked = 0, 0
 	}
 }
 
@@ -147,10 +148,10 @@
 	}
 	if t.Percent != r.percent {
 		r.percent, r.progress, r.stalled = t.Percent, now, 0
-	} else if !r.listed.IsZero() {
-		r.stalled += min(now.Sub(r.listed), stallStep)
+	} else if r.listed > 0 && r.worker.looked > r.listed {
+		r.stalled += min(r.worker.looked-r.listed, stallStep)
 	}
-	r.listed = now
+	r.listed = r.worker.looked
 	e.checkStall(r, now)
 	if t.Checkpoint != "" && t.Checkpoint != r.task.checkpoint {
 		r.task.checkpoint, r.saved = t.Checkpoint, now
--- a/core/job/stall_test.go
+++ b/core/job/stall_test.go
@@ -58,3 +58,18 @@
 		})
 	}
 }
+
+func TestOldLooksAreNoStall(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(1)
+	f.e.Submit(f.job("j", 1, step(1, 1)), f.now)
+	f.tick()
+	f.report(node(0), nil, nil)
+	looked := f.now.Sub(testStart) + time.Second
+	for range 20 { // the worker does not answer its agent
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.report(node(0), func(r *wire.WorkerReport) { r.Looked = looked }, nil)
+	}
+	is.Equal(f.runs("j")[0].phase, started)
+}
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -197,7 +197,8 @@
 type WorkerReport struct {
 	Sequence uint64        `msg:"sequence"`
 	Node     string        `msg:"node"`
-	Sent     time.Duration `msg:"sent"` // on the agent's steady clock
+	Sent     time.Duration `msg:"sent"`   // on the agent's steady clock
+	Looked   time.Duration `msg:"looked"` // when the worker said what runs, on the same clock
 	Worker   WorkerInfo    `msg:"worker"`
 	Running  []RunningTask `msg:"running"`
 	Ended    []EndedRun    `msg:"ended"`
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -2124,9 +2124,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "sequence"
-	o = append(o, 0x87, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = append(o, 0x88, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, z.Sequence)
 	// string "node"
 	o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
@@ -2134,6 +2134,9 @@
 	// string "sent"
 	o = append(o, 0xa4, 0x73, 0x65, 0x6e, 0x74)
 	o = msgp.AppendDuration(o, z.Sent)
+	// string "looked"
+	o = append(o, 0xa6, 0x6c, 0x6f, 0x6f, 0x6b, 0x65, 0x64)
+	o = msgp.AppendDuration(o, z.Looked)
 	// string "worker"
 	o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
 	o, err = z.Worker.MarshalMsg(o)
@@ -2218,6 +2221,12 @@
 				err = msgp.WrapError(err, "Sent")
 				return
 			}
+		case "looked":
+			z.Looked, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Looked")
+				return
+			}
 		case "worker":
 			bts, err = z.Worker.UnmarshalMsg(bts)
 			if err != nil {
@@ -2327,7 +2336,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerReport) Msgsize() (s int) {
-	s = 1 + 9 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Node) + 5 + msgp.DurationSize + 7 + z.Worker.Msgsize() + 8 + msgp.ArrayHeaderSize
+	s = 1 + 9 + msgp.Uint64Size + 5 + msgp.StringPrefixSize + len(z.Node) + 5 + msgp.DurationSize + 7 + msgp.DurationSize + 7 + z.Worker.Msgsize() + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Running {
 		s += z.Running[za0001].Msgsize()
 	}
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -16,7 +16,7 @@
 // Times of an agent.
 const (
 	holdWait       = time.Second            // of a long poll; a report follows each
-	callMargin     = 700 * time.Millisecond // beyond the wait, for the worker's answer
+	callMargin     = 350 * time.Millisecond // beyond the wait, for the answer of a worker on the same machine
 	callTimeout    = 700 * time.Millisecond
 	ackWait        = 400 * time.Millisecond // for the scheduler to record ends
 	retryPause     = 100 * time.Millisecond
@@ -44,7 +44,9 @@
 	wg    sync.WaitGroup
 	fresh chan struct{} // asks for a look at the worker at once
 	acks  chan struct{} // ends have been acknowledged
-	downs int           // calls in a row that found no worker; of the hold loop
+
+	downs      int  // calls in a row that found no worker; of the hold loop
+	unanswered bool // the last call of the hold loop has failed
 
 	mu        sync.Mutex
 	info      wire.WorkerInfo
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -46,7 +46,7 @@
 		Acked: a.orders.Acked, Wait: holdWait,
 	}
 	unacked := len(a.ended) > 0 && a.ended[len(a.ended)-1].Number > o.Acked
-	if !a.seen || a.unsettled() {
+	if !a.seen || a.unsettled() || a.unanswered {
 		o.Wait = 0
 	}
 	a.mu.Unlock()
@@ -69,7 +69,7 @@
 		a.holdFailed(ctx, err, life)
 		return
 	}
-	a.downs = 0
+	a.downs, a.unanswered = 0, false
 	a.take(reply, o, sent, life)
 }
 
@@ -126,6 +126,7 @@
 func (a *Agent) holdFailed(ctx context.Context, err error, life uint64) {
 	var refused *RefusedError
 	var down *DownError
+	a.unanswered = true
 	if errors.As(err, &down) {
 		a.down(life)
 	} else {
@@ -230,7 +231,7 @@
 	}
 	a.sequence++
 	m := &wire.WorkerReport{
-		Sequence: a.sequence, Node: a.cfg.Node, Sent: time.Since(a.start) + 1, Worker: a.info, Ended: a.ended,
+		Sequence: a.sequence, Node: a.cfg.Node, Sent: time.Since(a.start) + 1, Looked: a.looked.Sub(a.start), Worker: a.info, Ended: a.ended,
 	}
 	for _, t := range a.running {
 		m.Running = append(m.Running, t)
