--- a/core/job/commit.go
+++ b/core/job/commit.go
@@ -10,12 +10,12 @@
 
 // Batch is a set of changes that are to be written together.
 type Batch struct {
-	Progress []JobChange
+	Progress []Change
 	Expired  []string // jobs whose rows are to be deleted
 }
 
-// JobChange is the new durable state of a job.
-type JobChange struct {
+// Change is the new durable state of a job.
+type Change struct {
 	ID       string
 	Progress wire.JobProgress
 
@@ -33,7 +33,7 @@
 	n := min(len(e.dirty), maxRows)
 	for _, j := range e.dirty[:n] {
 		j.dirty = false
-		b.Progress = append(b.Progress, JobChange{ID: j.ID, Progress: j.progress(), job: j, changes: j.changes})
+		b.Progress = append(b.Progress, Change{ID: j.ID, Progress: j.progress(), job: j, changes: j.changes})
 	}
 	e.dirty = append([]*Job(nil), e.dirty[n:]...)
 	for len(e.expired) > 0 && n+2*len(b.Expired) < maxRows {
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -100,38 +100,12 @@
 
 // cheapest returns the clearing that loses the least work, or nil.
 func (e *Engine) cheapest(s *stage, n int, stoppable func(*run) bool, now time.Time) *clearing {
-	var sets [][]*Worker
-	racks := make(map[string][]*Worker)
-	var names []string
-	for _, w := range e.order {
-		if !e.eligible(w, s, now) {
-			continue
-		}
-		if racks[w.Rack] == nil {
-			names = append(names, w.Rack)
-		}
-		racks[w.Rack] = append(racks[w.Rack], w)
-	}
-	if s.step.SameRack {
-		for _, name := range names {
-			if s.step.DataRack == "" || s.step.DataRack == name {
-				sets = append(sets, racks[name])
-			}
-		}
-	}
-	var all []*Worker
-	for _, name := range names {
-		all = append(all, racks[name]...)
-	}
 	var best *clearing
-	for _, set := range sets {
+	for _, set := range e.workerSets(s, now) {
 		if c := e.clear(s, set, n, stoppable, now); c != nil && (best == nil || c.lost < best.lost) {
 			best = c
 		}
 	}
-	if best == nil && (!s.step.SameRack || !e.couldBeNear(s, now)) {
-		best = e.clear(s, all, n, stoppable, now)
-	}
 	return best
 }
 
--- /dev/null
+++ b/io/scheduler/lease_test.go
@@ -0,0 +1,96 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"bramleythread/io/platform"
+	"bramleythread/io/wire"
+
+	"github.com/matryer/is"
+)
+
+func newWriter(store platform.Store, name string) *writer {
+	return &writer{store: store, lease: wire.SchedulerLease{Holder: name}}
+}
+
+func row(value string) []platform.Write {
+	return []platform.Write{{Key: TableProgress + "/j", Value: []byte(value)}}
+}
+
+func TestDeposedWriterChangesNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := platform.NewStandin().Store()
+	first, second := newWriter(store, "first"), newWriter(store, "second")
+	is.NoErr(first.claim(ctx, wire.SchedulerLease{}, 0))
+	is.NoErr(first.write(ctx, row("one")))
+
+	lease, revision, err := readLease(ctx, store)
+	is.NoErr(err)
+	is.NoErr(second.claim(ctx, lease, revision))
+	is.Equal(second.lease.Epoch, uint64(2))
+
+	var deposed *DeposedError
+	is.True(errors.As(first.write(ctx, row("two")), &deposed))
+	is.Equal(deposed.Holder, "second")
+	got, err := store.Get(ctx, TableProgress+"/j")
+	is.NoErr(err)
+	is.Equal(string(got.Value), "one")
+}
+
+func TestRacingClaims(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := platform.NewStandin().Store()
+	first, second := newWriter(store, "first"), newWriter(store, "second")
+	is.NoErr(first.claim(ctx, wire.SchedulerLease{}, 0))
+	var deposed *DeposedError
+	is.True(errors.As(second.claim(ctx, wire.SchedulerLease{}, 0), &deposed))
+}
+
+func TestLostAnswersAreResolved(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	standin := platform.NewStandin()
+	w := newWriter(standin.Store(), "first")
+	is.NoErr(w.claim(ctx, wire.SchedulerLease{}, 0))
+	standin.SetFaults(platform.Faults{LostReplies: 2})
+	is.NoErr(w.write(ctx, row("one")))
+	is.NoErr(w.write(ctx, row("two")))
+	got, err := standin.Store().Get(ctx, TableProgress+"/j")
+	is.NoErr(err)
+	is.Equal(string(got.Value), "two")
+}
+
+// TestLateWriteIsOvertaken applies a transaction without an answer only after
+// the next one: it must change nothing then.
+func TestLateWriteIsOvertaken(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	standin := platform.NewStandin()
+	store := standin.Store()
+	commit := store.Commit
+	var late []platform.Txn
+	lose := false
+	store.Commit = func(ctx context.Context, t platform.Txn) (uint64, error) {
+		if lose {
+			lose = false
+			late = append(late, t)
+			return 0, &platform.UnavailableError{Op: "commit", MaybeApplied: true}
+		}
+		return commit(ctx, t)
+	}
+	w := newWriter(store, "first")
+	is.NoErr(w.claim(ctx, wire.SchedulerLease{}, 0))
+	lose = true
+	is.NoErr(w.write(ctx, row("one"))) // the second try is applied
+	is.NoErr(w.write(ctx, row("two")))
+	var conflict *platform.ConflictError
+	_, err := commit(ctx, late[0])
+	is.True(errors.As(err, &conflict))
+	got, err := store.Get(ctx, TableProgress+"/j")
+	is.NoErr(err)
+	is.Equal(string(got.Value), "two")
+}
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -169,19 +169,10 @@
 	a.looked = sent
 	a.setClock(reply.Clock, time.Now())
 	changed := !a.seen
-	running := make(map[wire.TaskRun]wire.RunningTask, len(reply.Running))
-	for _, t := range reply.Running {
-		r := wire.TaskRun{Task: t.Task, Run: t.Run}
-		running[r] = t
-		changed = changed || a.running[r] != t
-	}
 	a.ended = mergeEnds(a.ended, reply.Ended, o.Acked)
-	for r, t := range a.startedAt {
-		if !t.After(sent) {
-			delete(a.startedAt, r)
-		} else if _, there := running[r]; !there && !a.hasEnded(r) {
-			running[r] = a.running[r] // started after this answer was made
-		}
+	running := a.merge(reply.Running, sent)
+	for r, t := range running {
+		changed = changed || a.running[r] != t
 	}
 	changed = changed || len(a.running) != len(running) || len(reply.Ended) > 0
 	a.running = running
@@ -193,6 +184,23 @@
 	}
 }
 
+// merge returns the runs that a worker lists, and those that have been started
+// after it was asked.
+func (a *Agent) merge(listed []wire.RunningTask, sent time.Time) map[wire.TaskRun]wire.RunningTask {
+	running := make(map[wire.TaskRun]wire.RunningTask, len(listed))
+	for _, t := range listed {
+		running[wire.TaskRun{Task: t.Task, Run: t.Run}] = t
+	}
+	for r, t := range a.startedAt {
+		if !t.After(sent) {
+			delete(a.startedAt, r)
+		} else if _, there := running[r]; !there && !a.hasEnded(r) {
+			running[r] = a.running[r]
+		}
+	}
+	return running
+}
+
 // mergeEnds adds the ends that a worker lists, and drops those that it has been
 // told to forget.
 func mergeEnds(known, listed []wire.EndedRun, acked int) []wire.EndedRun {
--- /dev/null
+++ b/io/worker/standin.go
@@ -0,0 +1,260 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"bramleythread/io/wire"
+)
+
+// StandinConfig sets up a stand-in.
+type StandinConfig struct {
+	Info       wire.WorkerInfo
+	RunTime    time.Duration // of a task whose spec is not a duration
+	LeaseLimit time.Duration // of one lease
+	StopTime   time.Duration // until a run that is told to stop has ended
+}
+
+// StandinFaults are the failures that a stand-in shows. The zero value is a
+// sound worker.
+type StandinFaults struct {
+	LateOrders int           // so many orders get no answer and are carried out late
+	Late       time.Duration // by so much
+	Fail       bool          // every run fails
+	Hang       bool          // no run gets on
+	Silent     bool          // no call is answered or carried out
+}
+
+// Standin is a worker in memory, for tests and local use. It runs a task by
+// waiting, for the duration that its spec states.
+type Standin struct {
+	cfg    StandinConfig
+	start  time.Time
+	mu     sync.Mutex
+	faults StandinFaults
+	token  uint64
+	until  time.Time // end of the lease
+	runs   map[wire.TaskID]*standinRun
+	last   map[wire.TaskID]int // newest run that was stopped or has ended
+	ended  []wire.EndedRun
+	number int
+	starts map[wire.TaskRun]int // how often each run has begun
+	ends   chan struct{}        // closed at the next end
+}
+
+type standinRun struct {
+	number  int
+	until   time.Time // when its work is done
+	began   time.Time
+	stopped time.Time // when its stop takes effect
+}
+
+// NewStandin returns a worker that runs nothing.
+func NewStandin(cfg StandinConfig) *Standin {
+	return &Standin{
+		cfg: cfg, start: time.Now(),
+		runs: make(map[wire.TaskID]*standinRun), last: make(map[wire.TaskID]int),
+		starts: make(map[wire.TaskRun]int), ends: make(chan struct{}),
+	}
+}
+
+// errNoAnswer is what the caller of a silent worker sees.
+var errNoAnswer = errors.New("no answer")
+
+// SetFaults replaces the failures that the worker shows.
+func (s *Standin) SetFaults(f StandinFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Starts returns how often each run has begun.
+func (s *Standin) Starts() map[wire.TaskRun]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	starts := make(map[wire.TaskRun]int, len(s.starts))
+	for r, n := range s.starts {
+		starts[r] = n
+	}
+	return starts
+}
+
+// Announcement returns what the worker says of itself.
+func (s *Standin) Announcement(sequence uint64) Announcement {
+	return Announcement{WorkerInfo: s.cfg.Info, Sequence: sequence, Clock: time.Since(s.start)}
+}
+
+// Worker returns the worker's functions.
+func (s *Standin) Worker() Worker {
+	return Worker{Start: s.startRun, Stop: s.stopRun, Hold: s.hold}
+}
+
+// order carries out an order now, or late and without an answer.
+func (s *Standin) order(f func() error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Silent {
+		return errNoAnswer
+	}
+	if s.faults.LateOrders > 0 {
+		s.faults.LateOrders--
+		time.AfterFunc(s.faults.Late, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			_ = f() // nobody hears the answer
+		})
+		return errNoAnswer
+	}
+	return f()
+}
+
+func (s *Standin) startRun(_ context.Context, o StartOrder) error {
+	return s.order(func() error {
+		now := time.Now()
+		s.settle(now)
+		if err := s.fence(o.Instance, o.Token); err != nil {
+			return err
+		}
+		s.extend(o.Until, now)
+		if r := s.runs[o.Task]; r != nil {
+			if r.number == o.Run {
+				return nil
+			}
+			return &RefusedError{Reason: "old"}
+		}
+		if o.Run <= s.last[o.Task] {
+			return &RefusedError{Reason: "old"}
+		}
+		took, err := time.ParseDuration(o.Spec)
+		if err != nil {
+			took = s.cfg.RunTime
+		}
+		s.runs[o.Task] = &standinRun{number: o.Run, began: now, until: now.Add(took)}
+		s.starts[wire.TaskRun{Task: o.Task, Run: o.Run}]++
+		time.AfterFunc(took, s.wake)
+		return nil
+	})
+}
+
+func (s *Standin) stopRun(_ context.Context, o StopOrder) error {
+	return s.order(func() error {
+		now := time.Now()
+		s.settle(now)
+		if err := s.fence(o.Instance, o.Token); err != nil {
+			return err
+		}
+		s.last[o.Task] = max(s.last[o.Task], o.Run)
+		if r := s.runs[o.Task]; r != nil && r.number == o.Run && r.stopped.IsZero() {
+			r.stopped = now.Add(s.cfg.StopTime)
+			time.AfterFunc(s.cfg.StopTime, s.wake)
+		}
+		return nil
+	})
+}
+
+func (s *Standin) hold(ctx context.Context, o HoldOrder) (HoldReply, error) {
+	t := time.NewTimer(o.Wait)
+	defer t.Stop()
+	for {
+		var reply HoldReply
+		var ends <-chan struct{}
+		err := s.order(func() error {
+			now := time.Now()
+			if err := s.fence(o.Instance, o.Token); err != nil {
+				return err
+			}
+			s.settle(now)
+			s.extend(o.Until, now)
+			s.forget(o.Acked)
+			reply, ends = s.reply(now), s.ends
+			return nil
+		})
+		if err != nil || o.Wait == 0 || len(reply.Ended) > 0 {
+			return reply, err
+		}
+		select {
+		case <-ctx.Done():
+			return HoldReply{}, ctx.Err()
+		case <-t.C:
+			return reply, nil
+		case <-ends:
+		}
+	}
+}
+
+// wake lets waiting holds look again.
+func (s *Standin) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.ends)
+	s.ends = make(chan struct{})
+}
+
+func (s *Standin) fence(instance string, token uint64) error {
+	if instance != s.cfg.Info.Instance {
+		return &RefusedError{Reason: ReasonOtherLife}
+	}
+	if token < s.token {
+		return &RefusedError{Reason: "fence"}
+	}
+	s.token = token
+	return nil
+}
+
+func (s *Standin) extend(until time.Duration, now time.Time) {
+	end := s.start.Add(until)
+	if limit := now.Add(s.cfg.LeaseLimit); end.After(limit) {
+		end = limit
+	}
+	if until > 0 && end.After(s.until) {
+		s.until = end
+	}
+}
+
+// settle takes in what has ended by now.
+func (s *Standin) settle(now time.Time) {
+	for id, r := range s.runs {
+		switch {
+		case now.After(s.until):
+			s.end(id, r, wire.EndLapsed)
+		case !r.stopped.IsZero() && !now.Before(r.stopped):
+			s.end(id, r, wire.EndStopped)
+		case s.faults.Hang || now.Before(r.until):
+		case s.faults.Fail:
+			s.end(id, r, wire.EndFailed)
+		default:
+			s.end(id, r, wire.EndDone)
+		}
+	}
+}
+
+func (s *Standin) end(id wire.TaskID, r *standinRun, how wire.RunEnd) {
+	delete(s.runs, id)
+	s.number++
+	s.last[id] = max(s.last[id], r.number)
+	s.ended = append(s.ended, wire.EndedRun{Number: s.number, Task: id, Run: r.number, How: how})
+}
+
+func (s *Standin) forget(acked int) {
+	kept := s.ended[:0]
+	for _, e := range s.ended {
+		if e.Number > acked {
+			kept = append(kept, e)
+		}
+	}
+	s.ended = kept
+}
+
+func (s *Standin) reply(now time.Time) HoldReply {
+	reply := HoldReply{Clock: now.Sub(s.start), Born: s.cfg.Info.Born, Ended: append([]wire.EndedRun(nil), s.ended...)}
+	for id, r := range s.runs {
+		t := wire.RunningTask{Task: id, Run: r.number}
+		if whole := r.until.Sub(r.began); whole > 0 && !s.faults.Hang {
+			t.Percent = int(min(99, 100*now.Sub(r.began)/whole))
+		}
+		reply.Running = append(reply.Running, t)
+	}
+	return reply
+}
--- /dev/null
+++ b/io/worker/system_test.go
@@ -0,0 +1,316 @@
+package worker_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramleythread/core/job"
+	"bramleythread/io/caller"
+	"bramleythread/io/platform"
+	"bramleythread/io/scheduler"
+	"bramleythread/io/wire"
+	"bramleythread/io/worker"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// patience bounds every wait: many times what a take-over needs.
+const patience = 30 * time.Second
+
+// link is a process's way to the store, which can be cut.
+type link struct {
+	store platform.Store
+	cut   atomic.Bool
+}
+
+func (l *link) Store() platform.Store {
+	s := l.store
+	refuse := func() error {
+		if l.cut.Load() {
+			return &platform.UnavailableError{Op: "cut"}
+		}
+		return nil
+	}
+	s.Get = func(ctx context.Context, key string) (platform.Row, error) {
+		if err := refuse(); err != nil {
+			return platform.Row{}, err
+		}
+		return l.store.Get(ctx, key)
+	}
+	s.Commit = func(ctx context.Context, t platform.Txn) (uint64, error) {
+		if err := refuse(); err != nil {
+			return 0, err
+		}
+		return l.store.Commit(ctx, t)
+	}
+	s.Watch = func(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+		if err := refuse(); err != nil {
+			return platform.Changes{}, err
+		}
+		return l.store.Watch(ctx, table, after, wait)
+	}
+	return s
+}
+
+// system is a store, entries and agents with their workers, in one process.
+type system struct {
+	t       *testing.T
+	store   *platform.Standin
+	links   []*link
+	entries []*scheduler.Candidate
+	agents  []*worker.Agent
+	workers []*worker.Standin
+}
+
+func newSystem(t *testing.T, entries, workers int) *system {
+	s := &system{t: t, store: platform.NewStandin()}
+	for i := range entries {
+		s.startEntry(i)
+	}
+	for i := range workers {
+		w := worker.NewStandin(worker.StandinConfig{
+			Info: wire.WorkerInfo{
+				Instance: fmt.Sprintf("i-%d", i), Born: 1, Service: "podcheck", Rack: "rack", Labels: []string{"a", "rack"},
+				Capacity: wire.Resources{CPU: 8000, Memory: 8000, Accelerators: 8}, State: wire.WorkerReady,
+			},
+			RunTime: 50 * time.Millisecond, LeaseLimit: 6 * time.Second, StopTime: 20 * time.Millisecond,
+		})
+		s.workers = append(s.workers, w)
+		s.agents = append(s.agents, nil)
+		s.startAgent(i)
+	}
+	t.Cleanup(func() {
+		for _, a := range s.agents {
+			a.Close()
+		}
+		for _, e := range s.entries {
+			e.Close()
+		}
+	})
+	return s
+}
+
+func (s *system) startEntry(i int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	way := &link{store: s.store.Store()}
+	s.links = append(s.links, way)
+	s.entries = append(s.entries, scheduler.Start(scheduler.Config{
+		Node: fmt.Sprintf("entry-%d", i), Address: l.Addr().(*net.TCPAddr).AddrPort(), Store: way.Store(),
+		Log: zerolog.Nop(), Metrics: scheduler.NewMetrics(prometheus.NewRegistry()),
+		Guarantees: func() map[string]int { return nil },
+		Engine:     job.Config{LeaseLimit: scheduler.LeaseLimit, Retention: time.Hour, RackFactor: 3},
+	}, l))
+}
+
+func (s *system) startAgent(i int) {
+	a := worker.Start(worker.Config{
+		Node: fmt.Sprintf("side-%d", i), Store: s.store.Store(), Worker: s.workers[i].Worker(),
+		Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+	})
+	a.Announce(s.workers[i].Announcement(1))
+	s.agents[i] = a
+}
+
+// jobs returns the callers' side of an entry.
+func (s *system) jobs(entry int) *caller.Jobs {
+	health := platform.NewHealth(s.store.Store(), zerolog.Nop(), prometheus.NewRegistry())
+	return &caller.Jobs{Store: health.Store(), Health: health, Ask: s.entries[entry].Ask, Log: zerolog.Nop()}
+}
+
+func (s *system) submit(id, spec string, steps ...wire.JobStep) {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	err := s.jobs(0).Submit(ctx, wire.Job{
+		ID: id, Queue: "q", Customer: "c", Service: "podcheck", Spec: spec, Priority: 1, Attempts: 3, Stretch: 3,
+		Accepted: time.Now(), Steps: steps,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *system) waitState(id string, want wire.JobState) {
+	s.t.Helper()
+	var state wire.JobState
+	var err error
+	s.wait(func() bool {
+		state, _, err = s.jobs(0).State(context.Background(), "q", id)
+		return err == nil && state == want
+	}, func() string { return fmt.Sprintf("job %s is %q (%v), want %q", id, state, err, want) })
+}
+
+func (s *system) wait(ok func() bool, what func() string) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatal(what())
+		}
+	}
+}
+
+// started waits until so many runs have begun.
+func (s *system) started(n int) {
+	s.t.Helper()
+	s.wait(func() bool { return len(s.starts()) >= n }, func() string { return fmt.Sprintf("%d of %d runs have begun", len(s.starts()), n) })
+}
+
+// starts returns all runs that have begun, and fails if one has begun twice.
+func (s *system) starts() map[wire.TaskRun]int {
+	s.t.Helper()
+	all := make(map[wire.TaskRun]int)
+	for _, w := range s.workers {
+		for r, n := range w.Starts() {
+			all[r] += n
+		}
+	}
+	for r, n := range all {
+		if n > 1 {
+			s.t.Fatalf("run %v has begun %d times", r, n)
+		}
+	}
+	return all
+}
+
+// holder returns the entry that is the scheduler.
+func (s *system) holder() int {
+	s.t.Helper()
+	holder := -1
+	s.wait(func() bool {
+		row, err := s.store.Store().Get(context.Background(), "scheduler/lease")
+		if err != nil || row.Revision == 0 {
+			return false
+		}
+		var l wire.SchedulerLease
+		if _, err := l.UnmarshalMsg(row.Value); err != nil {
+			s.t.Fatal(err)
+		}
+		_, err = fmt.Sscanf(l.Holder, "entry-%d", &holder)
+		return err == nil && !l.Released
+	}, func() string { return "no scheduler" })
+	return holder
+}
+
+func tasks(n int) wire.JobStep {
+	return wire.JobStep{Count: n, Demand: wire.Resources{CPU: 1000, Memory: 1000, Accelerators: 1}}
+}
+
+func TestSystemRunsAJob(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, 2)
+	second := tasks(2)
+	second.After = []int{0}
+	s.submit("j", "", tasks(12), second)
+	s.waitState("j", wire.JobCompleted)
+	is.Equal(len(s.starts()), 14)
+}
+
+func TestSystemKeepsRunsThrough(t *testing.T) {
+	tests := map[string]func(s *system){
+		"the scheduler being turned away by the store": func(s *system) {
+			old := s.holder()
+			s.links[old].cut.Store(true)
+			s.wait(func() bool { return s.holder() != old }, func() string { return "nobody took over" })
+			s.links[old].cut.Store(false)
+		},
+		"a planned stop of the scheduler": func(s *system) {
+			old := s.holder()
+			s.entries[old].Close()
+			s.wait(func() bool { return s.holder() != old }, func() string { return "nobody took over" })
+		},
+		"an outage of the store": func(s *system) {
+			s.store.SetFaults(platform.Faults{Outage: true})
+			time.Sleep(time.Second)
+			s.store.SetFaults(platform.Faults{})
+		},
+		"lost answers of the store": func(s *system) {
+			s.store.SetFaults(platform.Faults{LostReplies: 5})
+		},
+		"a lost history of the store": func(s *system) {
+			s.store.Compact()
+		},
+		"a restart of every agent": func(s *system) {
+			for i, a := range s.agents {
+				a.Close()
+				s.startAgent(i)
+			}
+		},
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSystem(t, 2, 2)
+			s.submit("j", "6s", tasks(4))
+			s.started(4)
+			disturb(s)
+			s.submit("k", "", tasks(4))
+			s.waitState("k", wire.JobCompleted)
+			s.waitState("j", wire.JobCompleted)
+			is.Equal(len(s.starts()), 8) // no run was begun anew
+		})
+	}
+}
+
+func TestSystemWithLateOrders(t *testing.T) {
+	s := newSystem(t, 1, 2)
+	for _, w := range s.workers {
+		w.SetFaults(worker.StandinFaults{LateOrders: 6, Late: 400 * time.Millisecond})
+	}
+	s.submit("j", "", tasks(16))
+	s.waitState("j", wire.JobCompleted)
+	s.starts()
+}
+
+func TestSystemCancelsAJob(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, 1)
+	s.submit("j", "1m", tasks(2))
+	s.started(2)
+	ok, err := s.jobs(0).Cancel(context.Background(), "q", "j")
+	is.NoErr(err)
+	is.True(ok)
+	s.waitState("j", wire.JobCancelled)
+	ok, err = s.jobs(0).Cancel(context.Background(), "q", "unknown")
+	is.NoErr(err)
+	is.True(!ok)
+	// The room is free again.
+	s.submit("k", "", tasks(8))
+	s.waitState("k", wire.JobCompleted)
+}
+
+func TestSystemEndsAHopelessJob(t *testing.T) {
+	s := newSystem(t, 1, 3)
+	for _, w := range s.workers {
+		w.SetFaults(worker.StandinFaults{Fail: true})
+	}
+	s.submit("j", "", tasks(1))
+	s.waitState("j", wire.JobFailed)
+}
+
+func TestSubmitIsRefusedWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, 1)
+	jobs := s.jobs(0)
+	s.store.SetFaults(platform.Faults{Outage: true})
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	err := jobs.Submit(ctx, wire.Job{ID: "j", Queue: "q", Service: "podcheck", Steps: []wire.JobStep{tasks(1)}})
+	refused, ok := err.(*caller.NotAcceptedError) //nolint:errorlint // it must not be wrapped
+	is.True(ok)
+	is.True(refused.Retry > 0)
+	s.store.SetFaults(platform.Faults{})
+	_, known, err := s.jobs(0).State(ctx, "q", "j")
+	is.NoErr(err)
+	is.True(!known) // what was refused is not there
+}
+
