--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	bin/golangci-lint run
 
 fmt:
-	go tool goimports -local bramleythread -w core io tools main.go
+	go tool goimports -local bramleythread -w core io platform tools main.go
 
 generate:
 	go generate ./io/wire
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -313,4 +313,3 @@
 	is.NoErr(err)
 	is.True(!known) // what was refused is not there
 }
-
