Offer durable jobs on the product's own interface, and run them in local

Cause: jobs could be submitted only through the users' platform. Change: POST, GET and DELETE of /v1/queues/QUEUE/jobs/ID and the length of a queue, with problem documents; each service of the configuration is a queue; local runs a scheduler, agents and stand-in workers, submits a job and prints its state. Unknown fields are refused here, since the interface is our own.

--- a/io/caller/catalog.go
+++ b/io/caller/catalog.go
@@ -40,17 +40,24 @@
 	mu        sync.Mutex
 	current   *job.Catalog
 	confirmed time.Duration // boot time at which nothing newer was in the store
-	changed   chan struct{} // closed at the next change
+	fixed     bool          // it never changes
 }
 
 // FollowCatalog starts a follower.
 func FollowCatalog(cfg CatalogConfig) *Catalog {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Catalog{cfg: cfg, stop: cancel, done: make(chan struct{}), changed: make(chan struct{})}
+	c := &Catalog{cfg: cfg, stop: cancel, done: make(chan struct{})}
 	go c.run(ctx)
 	return c
 }
 
+// FixedCatalog returns a catalog that never changes and is always fresh.
+func FixedCatalog(current *job.Catalog) *Catalog {
+	c := &Catalog{current: current, fixed: true, stop: func() {}, done: make(chan struct{})}
+	close(c.done)
+	return c
+}
+
 // Close stops the follower.
 func (c *Catalog) Close() {
 	c.stop()
@@ -62,6 +69,9 @@
 func (c *Catalog) Get() (*job.Catalog, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.fixed {
+		return c.current, 0
+	}
 	return c.current, bootTime() - c.confirmed
 }
 
--- a/io/caller/http.go
+++ b/io/caller/http.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -53,6 +54,8 @@
 	Request string       `json:"request,omitempty"`
 	Outcome wire.Outcome `json:"outcome,omitempty"`
 	Reason  wire.Reason  `json:"reason,omitempty"`
+
+	retry int // seconds; retryAfter if it is 0
 }
 
 func writeProblem(w http.ResponseWriter, p problem) {
@@ -67,7 +70,7 @@
 		h.Set(headerRequest, p.Request)
 	}
 	if p.Status == http.StatusServiceUnavailable || p.Status == http.StatusTooManyRequests {
-		h.Set("Retry-After", strconv.Itoa(retryAfter))
+		h.Set("Retry-After", strconv.Itoa(cmp.Or(p.retry, retryAfter)))
 	}
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p)
--- /dev/null
+++ b/io/caller/job_http.go
@@ -0,0 +1,235 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strings"
+	"time"
+
+	"bramleythread/core/config"
+	"bramleythread/core/job"
+	"bramleythread/io/wire"
+)
+
+// Paths of the product's own interface to durable jobs.
+const (
+	queuesPath = "/v1/queues/"
+	jobsPath   = "/jobs/"
+)
+
+// jobRequest is a job as callers of the product's own interface submit it.
+type jobRequest struct {
+	Spec       string        `json:"spec"`
+	FirstRun   time.Time     `json:"first_run"`
+	IntervalMs int64         `json:"interval_ms"`
+	Repeat     int           `json:"repeat"`
+	Steps      []stepRequest `json:"steps"`
+}
+
+type stepRequest struct {
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu_millicores"`
+	Memory       int    `json:"memory_mib"`
+	Accelerators int    `json:"accelerators"`
+	EstimateMs   int64  `json:"estimate_ms"`
+	After        []int  `json:"after"`
+	Checkpoints  bool   `json:"checkpoints"`
+	Gang         bool   `json:"gang"`
+	SameRack     bool   `json:"same_rack"`
+	Label        string `json:"label"`
+	DataRack     string `json:"data_rack"`
+	Spread       int    `json:"spread"`
+}
+
+// JobAPI is the product's own interface to durable jobs.
+type JobAPI struct {
+	Door *Door
+	Jobs *Jobs
+}
+
+// CatalogOf returns the queues and customers of a configuration: each service
+// is a queue.
+func CatalogOf(cfg *config.Config) *job.Catalog {
+	c := &job.Catalog{
+		Customers:  make(map[string]string),
+		Guaranteed: make(map[string]int),
+		BodyLimit:  cfg.Limits.RequestBody,
+	}
+	for _, s := range cfg.Services {
+		if s.Disabled {
+			continue
+		}
+		c.Queues = append(c.Queues, job.Queue{
+			Name: s.Name, Prefix: queuesPath + s.Name + jobsPath, Service: s.Name, Stretch: 1,
+			Priority: map[config.Priority]int{config.Urgent: 0, config.Normal: 1, config.Batch: 2}[s.Priority],
+			Attempts: max(cfg.Limits.Attempts, 1), Objective: s.Timeout,
+		})
+	}
+	for _, x := range cfg.Customers {
+		if x.Disabled {
+			continue
+		}
+		for _, digest := range x.TokenDigests {
+			c.Customers[digest] = x.Name
+		}
+	}
+	for _, g := range cfg.Guarantees {
+		if shape := cfg.Shape(g.Shape); shape != nil && !g.Disabled {
+			c.Guaranteed[g.Customer] += g.Count * shape.Workers * shape.Demand.Accelerators
+		}
+	}
+	return c
+}
+
+// Register adds the paths of the interface to mux.
+func (a *JobAPI) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+queuesPath+"{queue}"+jobsPath+"{id}", a.serve(a.submit))
+	mux.HandleFunc("GET "+queuesPath+"{queue}"+jobsPath+"{id}", a.serve(a.state))
+	mux.HandleFunc("DELETE "+queuesPath+"{queue}"+jobsPath+"{id}", a.serve(a.cancel))
+	mux.HandleFunc("GET "+queuesPath+"{queue}"+jobsPath, a.serve(a.pending))
+}
+
+// serve lets a request in and answers it, or tells why not.
+func (a *JobAPI) serve(f func(w http.ResponseWriter, r *http.Request, in Admission) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		in, err := a.Door.Open(r.Host, r.URL.Path, token)
+		if err == nil {
+			err = f(w, r, in)
+		}
+		if err != nil {
+			refuseJob(w, err)
+		}
+	}
+}
+
+func (a *JobAPI) submit(w http.ResponseWriter, r *http.Request, in Admission) error {
+	if !validID(in.Rest) {
+		return &job.InvalidError{Field: "id", Reason: "must be up to 255 letters, digits, - or _"}
+	}
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, in.Limit))
+	d.DisallowUnknownFields()
+	var req jobRequest
+	if err := d.Decode(&req); err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return err
+		}
+		return &job.InvalidError{Field: "body", Reason: err.Error()}
+	}
+	j := req.job(in)
+	if err := job.Validate(&j); err != nil {
+		return err
+	}
+	ctx, cancel := Within(r.Context(), in.Queue.Objective)
+	defer cancel()
+	if err := a.Jobs.Submit(ctx, j); err != nil {
+		return err
+	}
+	writeState(w, http.StatusAccepted, wire.JobQueued)
+	return nil
+}
+
+// job translates a request.
+func (req *jobRequest) job(in Admission) wire.Job {
+	j := wire.Job{
+		ID: in.Rest, Queue: in.Queue.Name, Customer: in.Customer, Service: in.Queue.Service, Spec: req.Spec,
+		Priority: in.Queue.Priority, Attempts: in.Queue.Attempts, Stretch: in.Queue.Stretch, Objective: in.Queue.Objective,
+		Accepted: time.Now(), FirstRun: req.FirstRun, Interval: time.Duration(req.IntervalMs) * time.Millisecond, Repeat: req.Repeat,
+	}
+	for _, s := range req.Steps {
+		j.Steps = append(j.Steps, wire.JobStep{
+			Count: s.Count, Demand: wire.Resources{CPU: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators},
+			Estimate: time.Duration(s.EstimateMs) * time.Millisecond, After: s.After, Checkpoints: s.Checkpoints,
+			Gang: s.Gang, SameRack: s.SameRack, Label: s.Label, DataRack: s.DataRack, Spread: s.Spread,
+		})
+	}
+	return j
+}
+
+func (a *JobAPI) state(w http.ResponseWriter, r *http.Request, in Admission) error {
+	ctx, cancel := Within(r.Context(), in.Queue.Objective)
+	defer cancel()
+	state, ok, err := a.Jobs.State(ctx, in.Queue.Name, in.Rest)
+	if err == nil && !ok {
+		err = &QueueError{Path: r.URL.Path}
+	}
+	if err == nil {
+		writeState(w, http.StatusOK, state)
+	}
+	return err
+}
+
+func (a *JobAPI) cancel(w http.ResponseWriter, r *http.Request, in Admission) error {
+	ctx, cancel := Within(r.Context(), in.Queue.Objective)
+	defer cancel()
+	ok, err := a.Jobs.Cancel(ctx, in.Queue.Name, in.Rest)
+	if err == nil && !ok {
+		err = &QueueError{Path: r.URL.Path}
+	}
+	if err == nil {
+		writeState(w, http.StatusOK, wire.JobCancelled)
+	}
+	return err
+}
+
+func (a *JobAPI) pending(w http.ResponseWriter, r *http.Request, in Admission) error {
+	ctx, cancel := Within(r.Context(), in.Queue.Objective)
+	defer cancel()
+	n, err := a.Jobs.Pending(ctx, in.Queue.Name)
+	if err != nil {
+		return err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(struct {
+		Pending int `json:"pending"`
+	}{n})
+}
+
+func writeState(w http.ResponseWriter, status int, state wire.JobState) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(struct {
+		State wire.JobState `json:"state"`
+	}{state}) // the caller may have left
+}
+
+// refuseJob answers with a problem document. Only a change whose outcome is not
+// known is called unknown.
+func refuseJob(w http.ResponseWriter, err error) {
+	p := problem{Status: http.StatusInternalServerError, Detail: err.Error(), Outcome: wire.Unknown}
+	var stale *StaleError
+	var token *TokenError
+	var queue *QueueError
+	var invalid *job.InvalidError
+	var refused *NotAcceptedError
+	var unknown *UnknownError
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &stale):
+		p.Status, p.Outcome = http.StatusServiceUnavailable, wire.NotRun
+	case errors.As(err, &token):
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		p.Status, p.Outcome = http.StatusUnauthorized, wire.NotRun
+	case errors.As(err, &queue):
+		p.Status, p.Outcome = http.StatusNotFound, wire.NotRun
+	case errors.As(err, &invalid):
+		p.Status, p.Outcome = http.StatusBadRequest, wire.NotRun
+	case errors.As(err, &large):
+		p.Status, p.Outcome = http.StatusRequestEntityTooLarge, wire.NotRun
+	case errors.As(err, &refused):
+		p.Status, p.Outcome = http.StatusServiceUnavailable, wire.NotRun
+		p.retry = int(math.Ceil(refused.Retry.Seconds()))
+	case errors.As(err, &unknown):
+		p.Status = http.StatusGatewayTimeout
+	}
+	writeProblem(w, p)
+}
+
+// validID reports whether an id is safe as a part of a row's key.
+func validID(id string) bool {
+	const letters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_"
+	return id != "" && len(id) <= maxKey && strings.Trim(id, letters) == ""
+}
--- a/io/operator/cmd_local.go
+++ b/io/operator/cmd_local.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	_ "embed"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -15,6 +18,7 @@
 
 	"bramleythread/core/config"
 	"bramleythread/io/platform"
+	"bramleythread/io/wire"
 )
 
 //go:embed local.ini
@@ -42,7 +46,7 @@
 		if err := parse(env, fs, args, 0); err != nil {
 			return err
 		}
-		http, err := netip.ParseAddrPort(*address)
+		listen, err := netip.ParseAddrPort(*address)
 		if err != nil {
 			return &UsageError{Reason: err.Error()}
 		}
@@ -55,13 +59,19 @@
 		signals := make(chan os.Signal, 1)
 		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 		defer signal.Stop(signals)
-		l, err := startLocal(http, log.Logger)
+		l, err := startLocal(listen, log.Logger)
 		if err != nil {
 			return eris.Wrap(err, "local")
 		}
 		defer l.kill()
 		_, _ = fmt.Fprintf(env.Stdout, "callers' address: http://%s\n", l.entry.web.addr)
 		_, _ = fmt.Fprintln(env.Stdout, l.curl())
+		_, _ = fmt.Fprintln(env.Stdout, l.curlJob())
+		state, err := l.tryJob()
+		if err != nil {
+			return eris.Wrap(err, "local")
+		}
+		_, _ = fmt.Fprintf(env.Stdout, "job first: %s\n", state)
 		<-signals
 		return nil
 	},
@@ -73,29 +83,33 @@
 	entry     *entryProcess
 	agents    []*agentProcess
 	upstreams []*upstreamProcess
+	jobs      *localJobs
 }
 
+// loopbackAny is a loopback address with a port of the kernel's choice.
+var loopbackAny = netip.MustParseAddrPort("127.0.0.1:0")
+
 // startLocal starts every part and waits until the entry is ready.
-func startLocal(http netip.AddrPort, log zerolog.Logger) (*local, error) {
+func startLocal(addr netip.AddrPort, log zerolog.Logger) (*local, error) {
 	l := &local{platform: platform.NewStandin()}
 	store := l.platform.Store()
 	row := platform.ConfigRow{Author: "local", Time: time.Now().UTC(), Base: localConfig}
 	if _, err := platform.Publish(context.Background(), store, 0, row); err != nil {
 		return nil, err
 	}
-	if err := l.startParts(http, store, log); err != nil {
+	if err := l.startParts(addr, store, log); err != nil {
 		l.kill()
 		return nil, err
 	}
 	return l, l.waitReady()
 }
 
-func (l *local) startParts(http netip.AddrPort, store platform.Store, log zerolog.Logger) (err error) {
-	any := netip.MustParseAddrPort("127.0.0.1:0")
+func (l *local) startParts(addr netip.AddrPort, store platform.Store, log zerolog.Logger) (err error) {
+	any := loopbackAny
 	key := []byte("bramleythread on loopback")
 	drain := config.DrainSettings{Limit: time.Second}
 	l.entry, err = startEntry(&config.Settings{
-		Name: "local", Zone: "loopback", HTTP: http, Control: any, Advertise: any, Key: key, Drain: drain,
+		Name: "local", Zone: "loopback", HTTP: addr, Control: any, Advertise: any, Key: key, Drain: drain,
 	}, store, log)
 	if err != nil {
 		return err
@@ -122,7 +136,12 @@
 		}
 		l.upstreams = append(l.upstreams, u)
 	}
-	return nil
+	cfg, err := config.Parse(config.Source{Name: "local.ini", Text: []byte(localConfig)})
+	if err != nil {
+		return err
+	}
+	l.jobs, err = startLocalJobs(l.entry.mux, store, cfg, log)
+	return err
 }
 
 // waitReady waits until every worker is in service.
@@ -147,7 +166,64 @@
 		localToken, l.entry.web.addr)
 }
 
+// curlJob returns a command line that submits a durable job.
+func (l *local) curlJob() string {
+	return fmt.Sprintf("curl -sS -i -H 'Authorization: Bearer %s' -d '%s' http://%s%s",
+		localToken, localJob, l.entry.web.addr, localJobPath+"second")
+}
+
+// A job to try.
+const (
+	localJobPath = "/v1/queues/podcheck/jobs/"
+	localJob     = `{"steps":[{"count":3,"cpu_millicores":500,"accelerators":1}]}`
+)
+
+// tryJob submits a job over HTTP and waits until it has ended.
+func (l *local) tryJob() (wire.JobState, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), localReadyLimit)
+	defer cancel()
+	url := "http://" + l.entry.web.addr.String() + localJobPath + "first"
+	if _, err := callJob(ctx, http.MethodPost, url, localJob); err != nil {
+		return "", err
+	}
+	for {
+		state, err := callJob(ctx, http.MethodGet, url, "")
+		if err != nil || state.Final() {
+			return state, err
+		}
+		time.Sleep(localReadyPoll)
+	}
+}
+
+// callJob makes one call of the interface for jobs and returns the job's state.
+func callJob(ctx context.Context, method, url, body string) (wire.JobState, error) {
+	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return "", err
+	}
+	r.Header.Set("Authorization", "Bearer "+localToken)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		State  wire.JobState `json:"state"`
+		Detail string        `json:"detail"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return "", err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return "", eris.Errorf("status %d: %s", resp.StatusCode, answer.Detail)
+	}
+	return answer.State, nil
+}
+
 func (l *local) kill() {
+	if l.jobs != nil {
+		l.jobs.kill()
+	}
 	for _, u := range l.upstreams {
 		u.kill()
 	}
--- a/io/operator/cmd_local_test.go
+++ b/io/operator/cmd_local_test.go
@@ -1,10 +1,14 @@
 package operator
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 
+	"bramleythread/io/wire"
+
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 )
@@ -68,3 +72,49 @@
 	is.Equal(other.status, http.StatusUnprocessableEntity)
 	is.Equal(l.executions(), 1)
 }
+
+func TestLocalRunsJobs(t *testing.T) {
+	is := is.New(t)
+	l := startTestLocal(t)
+	state, err := l.tryJob()
+	is.NoErr(err)
+	is.Equal(state, wire.JobCompleted)
+}
+
+func TestJobInterface(t *testing.T) {
+	l := startTestLocal(t)
+	base := "http://" + l.entry.web.addr.String()
+	tests := map[string]struct {
+		method, path, token, body string
+		status                    int
+	}{
+		"accepted":           {"POST", localJobPath + "a", localToken, localJob, http.StatusAccepted},
+		"no token":           {"POST", localJobPath + "b", "", localJob, http.StatusUnauthorized},
+		"no queue":           {"POST", "/v1/queues/none/jobs/b", localToken, localJob, http.StatusNotFound},
+		"unknown field":      {"POST", localJobPath + "b", localToken, `{"step":[]}`, http.StatusBadRequest},
+		"malformed":          {"POST", localJobPath + "b", localToken, `{"steps":[`, http.StatusBadRequest},
+		"wrong type":         {"POST", localJobPath + "b", localToken, `{"steps":"all"}`, http.StatusBadRequest},
+		"no steps":           {"POST", localJobPath + "b", localToken, `{}`, http.StatusBadRequest},
+		"circular steps":     {"POST", localJobPath + "b", localToken, `{"steps":[{"count":1,"after":[0]}]}`, http.StatusBadRequest},
+		"id of a row's mark": {"POST", localJobPath + "b.cancel", localToken, localJob, http.StatusBadRequest},
+		"state of no job":    {"GET", localJobPath + "none", localToken, "", http.StatusNotFound},
+		"cancel no job":      {"DELETE", localJobPath + "none", localToken, "", http.StatusNotFound},
+		"length of a queue":  {"GET", localJobPath, localToken, "", http.StatusOK},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, err := http.NewRequest(tt.method, base+tt.path, strings.NewReader(tt.body))
+			is.NoErr(err)
+			r.Header.Set("Authorization", "Bearer "+tt.token)
+			resp, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			defer func() { _ = resp.Body.Close() }()
+			is.Equal(resp.StatusCode, tt.status)
+		})
+	}
+	rows, err := l.platform.Store().Scan(context.Background(), "job/")
+	if err != nil || len(rows) != 1 {
+		t.Fatalf("%d jobs are stored (%v), want the one that was accepted", len(rows), err)
+	}
+}
--- /dev/null
+++ b/io/operator/local_jobs.go
@@ -0,0 +1,107 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"bramleythread/core/config"
+	"bramleythread/core/job"
+	"bramleythread/io/caller"
+	"bramleythread/io/platform"
+	"bramleythread/io/scheduler"
+	"bramleythread/io/wire"
+	"bramleythread/io/worker"
+)
+
+// Sizes and times of the local system's workers for jobs.
+const (
+	localCPU        = 8000 // thousandths of a core
+	localMemory     = 16384
+	localRunTime    = 200 * time.Millisecond
+	localStopTime   = 20 * time.Millisecond
+	localLeaseLimit = 6 * time.Second
+	localRevocation = 5 * time.Second
+	announceEvery   = time.Second
+)
+
+// localJobs is the part of the local system that runs durable jobs.
+type localJobs struct {
+	api       *caller.JobAPI
+	candidate *scheduler.Candidate
+	agents    []*worker.Agent
+	stop      chan struct{}
+	done      chan struct{}
+}
+
+// startLocalJobs starts a scheduler and agents with stand-ins of workers, and
+// adds the interface for jobs to the entry's listener.
+func startLocalJobs(mux *http.ServeMux, store platform.Store, cfg *config.Config, log zerolog.Logger) (*localJobs, error) {
+	control, addr, err := listen(loopbackAny)
+	if err != nil {
+		return nil, err
+	}
+	registry := prometheus.NewRegistry()
+	health := platform.NewHealth(store, log, registry)
+	catalog := caller.FixedCatalog(caller.CatalogOf(cfg))
+	metrics := scheduler.NewMetrics(registry)
+	l := &localJobs{stop: make(chan struct{}), done: make(chan struct{})}
+	l.candidate = scheduler.Start(scheduler.Config{
+		Node: "local", Address: addr, Store: health.Store(), Log: log, Metrics: metrics, Guarantees: catalog.Guarantees,
+		Engine: job.Config{
+			LeaseLimit: scheduler.LeaseLimit, Retention: minRetention, RackFactor: 1, Decision: logDecision(log, metrics),
+		},
+	}, control)
+	var standins []*worker.Standin
+	for i := range localWorkers {
+		w := worker.NewStandin(worker.StandinConfig{
+			Info: wire.WorkerInfo{
+				Instance: fmt.Sprintf("worker-%d", i+1), Born: 1, Zone: "loopback", Rack: "loopback-1",
+				Service: cfg.Services[i%len(cfg.Services)].Name, Labels: []string{"loopback-1"}, State: wire.WorkerReady,
+				Capacity: wire.Resources{CPU: localCPU, Memory: localMemory, Accelerators: localAccelerators},
+			},
+			RunTime: localRunTime, LeaseLimit: localLeaseLimit, StopTime: localStopTime,
+		})
+		standins = append(standins, w)
+		l.agents = append(l.agents, worker.Start(worker.Config{
+			Node: fmt.Sprintf("agent-%d", i+1), Store: health.Store(), Worker: w.Worker(), Log: log,
+			Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+		}))
+	}
+	go l.announce(standins)
+	l.api = &caller.JobAPI{
+		Door: caller.NewDoor(catalog, health, localRevocation),
+		Jobs: &caller.Jobs{Store: health.Store(), Health: health, Ask: l.candidate.Ask, Log: log},
+	}
+	l.api.Register(mux)
+	return l, nil
+}
+
+// announce lets the workers announce themselves.
+func (l *localJobs) announce(standins []*worker.Standin) {
+	defer close(l.done)
+	t := time.NewTicker(announceEvery)
+	defer t.Stop()
+	for sequence := uint64(1); ; sequence++ {
+		for i, w := range standins {
+			l.agents[i].Announce(w.Announcement(sequence))
+		}
+		select {
+		case <-l.stop:
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (l *localJobs) kill() {
+	close(l.stop)
+	<-l.done
+	for _, a := range l.agents {
+		a.Close()
+	}
+	l.candidate.Close()
+}
--- a/io/operator/process_entry.go
+++ b/io/operator/process_entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -17,6 +18,7 @@
 type entryProcess struct {
 	entry   *caller.Entry
 	web     *webServer
+	mux     *http.ServeMux
 	control net.Listener
 	address netip.AddrPort // of the control listener
 	drain   config.DrainSettings
@@ -52,7 +54,7 @@
 	go e.Pool().Serve(l)
 	e.Start()
 	log.Info().Str("name", s.Name).Str("zone", s.Zone).Stringer("http", web.addr).Stringer("control", control).Msg("entry_started")
-	return &entryProcess{entry: e, web: web, control: l, address: control, drain: s.Drain}, nil
+	return &entryProcess{entry: e, web: web, mux: mux, control: l, address: control, drain: s.Drain}, nil
 }
 
 // newIncarnation returns a number that grows with every start.
