Do not take a run for stalled whose count of work has ended

Ruled out: the length of a percent (the log shows 100 at each such stop). Change: at 100 percent a run is not checked; the log tells the percent; a case of TestStalledRuns failed before.

--- a/core/job/report.go
+++ b/core/job/report.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"time"
 
 	"bramleythread/io/wire"
@@ -170,6 +171,9 @@
 	// suspended between two.
 	stallStep = time.Second
 
+	// allPercent is where the count of a run's work ends.
+	allPercent = 100
+
 	// longestRun is how many mean run times the longest runs take.
 	longestRun = 10
 
@@ -189,14 +193,15 @@
 	return stallLimit + stallPercents*percent
 }
 
-// checkStall stops a run that stands still, since others would do its work. A
-// run of long-running work shows no progress.
+// checkStall stops a run that stands still, since others would do its work.
+// Long-running work shows no progress, and neither does a run that takes longer
+// than the worker's own count of its work.
 func (e *Engine) checkStall(r *run, now time.Time) {
-	if r.phase == stopping || r.task.stage.step.LongRunning || r.stalled < e.stallTime(r) {
+	if r.phase == stopping || r.task.stage.step.LongRunning || r.percent >= allPercent || r.stalled < e.stallTime(r) {
 		return
 	}
 	j := r.task.stage.job
-	e.decide(Decision{What: "stalled", Job: j.ID, Task: r.task.id(), Run: r.number, Worker: r.worker.Node, Reason: "no_progress", Age: now.Sub(r.progress)})
+	e.decide(Decision{What: "stalled", Job: j.ID, Task: r.task.id(), Run: r.number, Worker: r.worker.Node, Reason: fmt.Sprintf("no_progress:percent=%d", r.percent), Age: now.Sub(r.progress)})
 	r.worker.health.failed(j.ID, now)
 	r.task.avoid = r.worker
 	e.stopWhole(r, "stalled")
--- a/core/job/stall_test.go
+++ b/core/job/stall_test.go
@@ -33,6 +33,10 @@
 			percent: func(d time.Duration) int { return int(min(d, time.Second) / (70 * time.Millisecond)) },
 			stopped: true,
 		},
+		"longer than its own count": {
+			step:    step(1, 1),
+			percent: func(d time.Duration) int { return min(100, int(d/(20*time.Millisecond))) },
+		},
 		"long-running work shows no progress": {
 			step:    wire.JobStep{Count: 1, LongRunning: true, Demand: wire.Resources{CPU: 1}},
 			percent: func(time.Duration) int { return 100 },
