Do not take over after an outage by what was told before it

Change: what was told before the last failed read does not count. TestOutageChangesNoScheduler failed before (holder 1, was 2).

--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -162,6 +162,7 @@
 	revision uint64
 	since    time.Time // when this revision was first seen
 	failed   bool      // its holder could not be reached since
+	unread   time.Time // when the lease could last not be read
 }
 
 // run follows the lease, takes it when it is free and holds it.
@@ -181,15 +182,16 @@
 	lease, revision, err := readLease(callCtx, c.cfg.Store)
 	cancel()
 	if err != nil {
-		seen.since = time.Now() // the holder may have been as far from the store
+		seen.unread = time.Now() // the holder may have been as far from the store
+		seen.since = seen.unread
 		c.refuseOffer()
 		_ = sleep(ctx, jitter(pollUnlinked))
 		return
 	}
 	now := time.Now()
 	if revision != seen.revision || seen.since.IsZero() {
-		*seen = watch{lease: lease, revision: revision, since: now}
-		if at, ok := c.toldAt(lease); ok {
+		*seen = watch{lease: lease, revision: revision, since: now, unread: seen.unread}
+		if at, ok := c.toldAt(lease); ok && at.After(seen.unread) {
 			seen.since = at
 		}
 	}
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -261,6 +261,21 @@
 	}
 }
 
+func TestOutageChangesNoScheduler(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 3, 1)
+	s.submit("j", "", tasks(1))
+	s.waitState("j", wire.JobCompleted)
+	time.Sleep(3 * time.Second) // entries have linked, and the lease has been renewed since they read it
+	old := s.holder()
+	s.store.SetFaults(platform.Faults{Outage: true})
+	time.Sleep(3 * time.Second)
+	s.store.SetFaults(platform.Faults{})
+	s.submit("k", "", tasks(1))
+	s.waitState("k", wire.JobCompleted)
+	is.Equal(s.holder(), old)
+}
+
 func TestSystemWithLateOrders(t *testing.T) {
 	s := newSystem(t, 1, 2)
 	for _, w := range s.workers {
