Acknowledge an end only once the state of its job is written

Ruled out: a lost report (the end is in the log of the first scheduler). Change: an end waits for all changes of its job; TestEndsBehindAFinalStateWait failed before. The log names outcomes of submissions without spaces.

--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -190,6 +190,24 @@
 	is.Equal(o.Acked, 1)
 }
 
+// TestEndsBehindAFinalStateWait takes in the end of a second member while the
+// state that the first one's end has made is being written.
+func TestEndsBehindAFinalStateWait(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(2)
+	f.e.Submit(f.job("j", 1, gang(2, 8)), f.now)
+	f.tick()
+	f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: wire.EndDone, {Job: "j", Index: 1}: wire.EndDone})
+	b := f.e.Flush()
+	f.report(node(1), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: wire.EndDone, {Job: "j", Index: 1}: wire.EndDone})
+	o, _ := f.e.Orders(node(1))
+	is.Equal(o.Acked, 0)
+	f.e.Committed(b)
+	o, _ = f.e.Orders(node(1))
+	is.Equal(o.Acked, 1)
+}
+
 func TestRestoredRunsOfAnOlderLifetime(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -117,7 +117,7 @@
 	j := r.task.stage.job
 	e.end(r, end.How, end.Checkpoint, string(end.How), now)
 	a := ack{number: end.Number}
-	if j.dirty {
+	if j.written < j.changes { // also if another end has made the change
 		a.job, a.change = j, j.changes
 	}
 	w.acks = append(w.acks, a)
--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -61,7 +61,7 @@
 // Submit stores a job. The same id again is the same job.
 func (s *Jobs) Submit(ctx context.Context, j wire.Job) error {
 	if err := s.available(ctx); err != nil {
-		s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Str("outcome", err.Error()).Msg("submit")
+		s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Str("outcome", outcomeOf(err, false)).Msg("submit")
 		return err
 	}
 	value, err := j.MarshalMsg(nil)
@@ -74,16 +74,24 @@
 		Conditions: []platform.Condition{{Key: key}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
 	})
-	outcome := "accepted"
+	s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Int("steps", len(j.Steps)).
+		Dur("took", time.Since(start)).Str("outcome", outcomeOf(err, known)).AnErr("cause", err).Msg("submit")
+	return err
+}
+
+// outcomeOf names the outcome of a submission for the log.
+func outcomeOf(err error, known bool) string {
+	var refused *NotAcceptedError
 	switch {
+	case errors.As(err, &refused):
+		return "not_accepted:" + refused.Reason
 	case err != nil:
-		outcome = err.Error()
+		return "unknown"
 	case known:
-		outcome = "known_already"
+		return "known_already"
+	default:
+		return "accepted"
 	}
-	s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Int("steps", len(j.Steps)).
-		Dur("took", time.Since(start)).Str("outcome", outcome).Msg("submit")
-	return err
 }
 
 // available refuses at once what cannot be stored. Unless the store has just
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -239,7 +239,7 @@
 		c.cfg.Log.Info().Err(err).Msg("lease_not_taken")
 		return
 	}
-	c.cfg.Log.Info().Uint64("epoch", w.lease.Epoch).Str("former", seen.lease.Holder).Bool("free", free).Dur("age", time.Since(seen.since)).Msg("lease_taken")
+	c.cfg.Log.Info().Uint64("epoch", w.lease.Epoch).Str("former", seen.lease.Holder).Bool("free", free).Dur("unchanged", unchanged(seen)).Msg("lease_taken")
 	if conn := c.link.Conn(); conn != nil {
 		conn.Close()
 	}
@@ -258,6 +258,14 @@
 	c.cfg.Log.Info().Uint64("epoch", w.lease.Epoch).Err(err).Msg("lease_ended")
 }
 
+// unchanged returns for how long the lease has been seen as it is.
+func unchanged(seen watch) time.Duration {
+	if seen.since.IsZero() {
+		return 0
+	}
+	return time.Since(seen.since)
+}
+
 func (c *Candidate) set(h *holder) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
