Send orders beside the scheduler's lock

Cause: orders were written to connections while the scheduler's state was locked; an agent that does not read would hold up all decisions until its link ends by silence (0.8 s). Change: a goroutine for each agent sends the newest standing orders.

--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -49,6 +49,15 @@
 	sequence uint64
 	granted  time.Duration
 	heard    bool
+	changed  chan struct{} // its orders are to be sent
+}
+
+// notify asks for the agent's orders to be sent.
+func (a *agentLink) notify() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
 }
 
 func newHolder(cfg Config, w *writer) *holder {
@@ -346,10 +355,15 @@
 		old.conn.Close()
 	}
 	h.tokens++
-	h.agents[p.Name] = &agentLink{conn: c, token: (h.writer.lease.Epoch<<tokenBits + h.tokens) << lifeBits}
+	a := &agentLink{
+		conn: c, token: (h.writer.lease.Epoch<<tokenBits + h.tokens) << lifeBits, changed: make(chan struct{}, 1),
+	}
+	h.agents[p.Name] = a
 	h.engine.NewLink(p.Name)
-	h.cfg.Log.Info().Str("agent", p.Name).Uint64("token", h.agents[p.Name].token).Msg("agent_linked")
-	h.sendOrders(p.Name)
+	h.cfg.Log.Info().Str("agent", p.Name).Uint64("token", a.token).Msg("agent_linked")
+	h.wg.Add(1)
+	go h.deliver(p.Name, a)
+	a.notify()
 }
 
 // handle takes in one message.
@@ -384,25 +398,48 @@
 	h.poke()
 }
 
-// sendOrders sends the standing orders to an agent. The first ones, before any
-// report, tell it its token only.
+// sendOrders asks for the orders of a node's agent to be sent.
 func (h *holder) sendOrders(node string) {
-	a := h.agents[node]
-	if a == nil || a.conn.Closed() {
-		return
+	if a := h.agents[node]; a != nil {
+		a.notify()
 	}
+}
+
+// deliver sends an agent its standing orders whenever they have changed. An
+// agent that does not read holds up nobody else, and gets the newest orders only.
+func (h *holder) deliver(node string, a *agentLink) {
+	defer h.wg.Done()
+	for {
+		select {
+		case <-a.conn.Done():
+			return
+		case <-a.changed:
+		}
+		o, ok := h.orders(node, a)
+		if !ok {
+			continue
+		}
+		if err := a.conn.Send(&o); err != nil {
+			h.cfg.Log.Debug().Str("agent", node).Err(err).Msg("orders_not_sent")
+		}
+	}
+}
+
+// orders returns an agent's standing orders. The first ones, before any report,
+// tell it its token only.
+func (h *holder) orders(node string, a *agentLink) (wire.WorkerOrders, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	var o wire.WorkerOrders
 	if a.heard {
 		var ok bool
 		if o, ok = h.engine.Orders(node); !ok {
-			return
+			return o, false
 		}
 	}
 	a.sequence++
 	o.Sequence, o.Epoch, o.Token, o.Granted = a.sequence, h.writer.lease.Epoch, a.token, a.granted
-	if err := a.conn.Send(&o); err != nil {
-		h.cfg.Log.Debug().Str("agent", node).Err(err).Msg("orders_not_sent")
-	}
+	return o, true
 }
 
 // dropLinks ends all connections, so that agents and entries look for another
