--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -17,17 +17,10 @@
 	// Retention is the time for which an ended job is kept.
 	Retention time.Duration
 
-	// GangTimeout is the time for which a member of a gang waits for the others.
-	GangTimeout time.Duration
-
 	// RackFactor is how much longer work takes away from its data or, for a
 	// gang that wants one rack, on several.
 	RackFactor float64
 
-	// Reclaim is the time within which urgent work inside its customer's
-	// guarantee starts.
-	Reclaim time.Duration
-
 	// Decision is called for each decision on a job; it may be nil.
 	Decision func(d Decision)
 }
@@ -57,7 +50,6 @@
 	holding      map[*stage]struct{}     // stages that hold room for themselves
 	reserved     map[*stage]*reservation // room that later stages of this tick leave free
 	reservations int                     // of this tick
-	inUse        map[string]int          // accelerators of urgent work, by customer
 	since        time.Time
 }
 
@@ -70,7 +62,6 @@
 		workers:    make(map[string]*Worker),
 		guaranteed: make(map[string]int),
 		learned:    make(map[string]*runTimes),
-		inUse:      make(map[string]int),
 		holding:    make(map[*stage]struct{}),
 		reserved:   make(map[*stage]*reservation),
 		since:      now,
@@ -229,7 +220,6 @@
 	if !ok || j.state.Final() {
 		return
 	}
-	j.cancel = true
 	e.finish(j, wire.JobCancelled, "caller", now)
 }
 
--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -30,8 +30,7 @@
 
 func (f *fleet) config() Config {
 	return Config{
-		LeaseLimit: 11 * time.Second, Retention: 2 * time.Minute, GangTimeout: 3 * time.Second, RackFactor: 3,
-		Reclaim:  2900 * time.Millisecond,
+		LeaseLimit: 11 * time.Second, Retention: 2 * time.Minute, RackFactor: 3,
 		Decision: func(d Decision) { f.seen = append(f.seen, d) },
 	}
 }
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -19,7 +19,6 @@
 	state   wire.JobState
 	shown   wire.JobState // the state that is durable
 	began   bool          // a task has been ordered
-	cancel  bool          // its caller has cancelled it
 	stages  map[stageKey]*stage
 	order   []*stage // in the order in which they were made
 	ended   time.Time
@@ -40,7 +39,6 @@
 	active   int // tasks that have one
 	failures int // of a gang
 	ready    time.Time
-	first    time.Time // when its first task was ordered
 	retry    time.Time // not placed before this time
 	why      string    // why it waits
 	held     map[*Worker]int
@@ -91,7 +89,6 @@
 	change   uint64 // of the job that records the run
 	placed   time.Time
 	began    time.Time     // when the worker listed it first
-	saved    time.Time     // when its checkpoint last changed
 	percent  int           // of the work that is done
 	first    int           // percent when the worker listed it first
 	progress time.Time     // when percent last grew
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -140,7 +140,7 @@
 // listed takes in what a worker says of a run.
 func (e *Engine) listed(r *run, t wire.RunningTask, now time.Time) {
 	if r.began.IsZero() {
-		r.began, r.progress, r.saved = now, now, now
+		r.began, r.progress = now, now
 		r.first, r.percent = t.Percent, t.Percent
 	}
 	if r.phase == ordered {
@@ -155,7 +155,7 @@
 	r.listed = r.worker.looked
 	e.checkStall(r, now)
 	if t.Checkpoint != "" && t.Checkpoint != r.task.checkpoint {
-		r.task.checkpoint, r.saved = t.Checkpoint, now
+		r.task.checkpoint = t.Checkpoint
 		if r.task.stage.step.Gang {
 			r.task.stage.share(t.Checkpoint)
 		}
@@ -230,9 +230,6 @@
 	w.runs[t.id()] = r
 	w.used = add(w.used, demand(s.step))
 	s.active++
-	if s.job.Priority == 0 {
-		e.inUse[s.job.Customer] += s.step.Demand.Accelerators
-	}
 	return r
 }
 
@@ -244,9 +241,6 @@
 	w.used = sub(w.used, demand(s.step))
 	w.dirty = true
 	s.active--
-	if s.job.Priority == 0 {
-		e.inUse[s.job.Customer] -= s.step.Demand.Accelerators
-	}
 }
 
 // end takes in the end of a run.
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -248,8 +248,5 @@
 	if j.state == wire.JobQueued {
 		j.state = wire.JobRunning
 	}
-	if s.first.IsZero() {
-		s.first = now
-	}
 	e.release(s)
 }
--- a/io/operator/cmd_agent.go
+++ b/io/operator/cmd_agent.go
@@ -3,9 +3,6 @@
 import (
 	"bramleythread/core/config"
 	"bramleythread/io/platform"
-	adapter "bramleythread/platform"
-
-	"github.com/rs/zerolog"
 )
 
 var cmdAgent = &Command{
@@ -18,9 +15,7 @@
 			return err
 		}
 		if boot {
-			return runOnPlatform(env, func(s *adapter.Settings, log zerolog.Logger) (process, error) {
-				return startJobAgent(s, log)
-			})
+			return runOnPlatform(env, config.RoleAgent)
 		}
 		log := newLogger(env, s.Log.Level)
 		return runProcess(log, func() (process, error) {
--- a/io/operator/cmd_entry.go
+++ b/io/operator/cmd_entry.go
@@ -6,8 +6,6 @@
 	"bramleythread/core/config"
 	"bramleythread/io/platform"
 	adapter "bramleythread/platform"
-
-	"github.com/rs/zerolog"
 )
 
 var cmdEntry = &Command{
@@ -20,9 +18,7 @@
 			return err
 		}
 		if boot {
-			return runOnPlatform(env, func(s *adapter.Settings, log zerolog.Logger) (process, error) {
-				return startJobEntry(s, log)
-			})
+			return runOnPlatform(env, config.RoleEntry)
 		}
 		log := newLogger(env, s.Log.Level)
 		return runProcess(log, func() (process, error) {
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"bramleythread/core/config"
 	"bramleythread/core/job"
 	"bramleythread/io/caller"
 	"bramleythread/io/logfmt"
@@ -25,6 +27,7 @@
 	metricsPort  = 1 // after the first of the ports that the platform lends
 	memoryShare  = 0.8
 	drainNotice  = 2500 * time.Millisecond // two missed readiness probes, a second apart
+	noticeShare  = 0.45                    // of the time that the platform gives for a stop, at most
 	drainLimit   = 2 * time.Second         // for requests in flight
 	retention    = 10 * time.Second        // beyond the time that the platform asks for
 	minRetention = 2 * time.Minute
@@ -52,23 +55,54 @@
 
 // runOnPlatform runs a role on the users' platform, with its log on standard
 // output.
-func runOnPlatform(env Env, start func(s *adapter.Settings, log zerolog.Logger) (process, error)) error {
+func runOnPlatform(env Env, role config.Role) error {
 	s, err := bootSettings(env)
 	if err != nil {
 		return err
 	}
 	log := logfmt.New(env.Stdout, zerolog.InfoLevel, func(int) {})
 	return runProcess(log, func() (process, error) {
-		p, err := start(s, log.Logger)
+		p, err := Boot(role, s, log.Logger)
 		if err != nil {
 			return nil, err
 		}
-		return &booted{process: p, env: env, settings: *s, log: log.Logger}, nil
+		p.env = env
+		return p, nil
 	})
 }
 
-// booted is a process on the users' platform whose settings may change.
-type booted struct {
+// Boot starts a role on the users' platform.
+func Boot(role config.Role, s *adapter.Settings, log zerolog.Logger) (*Booted, error) {
+	var p process
+	var err error
+	switch role {
+	case config.RoleEntry:
+		p, err = startJobEntry(s, log)
+	case config.RoleAgent:
+		p, err = startJobAgent(s, log)
+	default:
+		return nil, &UsageError{Reason: fmt.Sprintf("role %q does not run on the users' platform", role)}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &Booted{process: p, settings: *s, log: log}, nil
+}
+
+// Stop is the planned stop.
+func (b *Booted) Stop() { b.stop() }
+
+// Kill ends the process at once.
+func (b *Booted) Kill() { b.kill() }
+
+// Ready reports whether the process wants requests.
+func (b *Booted) Ready() bool {
+	e, ok := b.process.(*jobEntry)
+	return !ok || e.door.Ready()
+}
+
+// Booted is a process on the users' platform. Its settings may change.
+type Booted struct {
 	process
 	env      Env
 	settings adapter.Settings
@@ -77,7 +111,7 @@
 
 // reload reads the settings again. The limits of memory and of withdrawn tokens
 // change at once, addresses at the next start.
-func (b *booted) reload() error {
+func (b *Booted) reload() error {
 	s, err := bootSettings(b.env)
 	if err != nil {
 		return err
@@ -99,6 +133,7 @@
 	candidate *scheduler.Candidate
 	web       []*webServer
 	callers   *webServer
+	notice    time.Duration // readiness is off before listeners close
 }
 
 func startJobEntry(s *adapter.Settings, log zerolog.Logger) (*jobEntry, error) {
@@ -110,7 +145,10 @@
 	health := platform.NewHealth(adapter.NewStore(s.Store), log, registry)
 	store := health.Store()
 	metrics := scheduler.NewMetrics(registry)
-	p := &jobEntry{}
+	p := &jobEntry{notice: drainNotice}
+	if share := time.Duration(noticeShare * float64(s.TerminationGrace)); share > 0 {
+		p.notice = min(p.notice, share)
+	}
 	p.catalog = caller.FollowCatalog(caller.CatalogConfig{
 		Store: store, Health: health, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration,
 	})
@@ -119,12 +157,10 @@
 		Node: s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
 		Guarantees: p.catalog.Guarantees,
 		Engine: job.Config{
-			LeaseLimit:  scheduler.LeaseLimit,
-			Retention:   max(s.Retention, minRetention) + retention,
-			GangTimeout: s.GangTimeout,
-			RackFactor:  s.RackFactor,
-			Reclaim:     s.Reclaim,
-			Decision:    logDecision(log, metrics),
+			LeaseLimit: scheduler.LeaseLimit,
+			Retention:  max(s.Retention, minRetention) + retention,
+			RackFactor: s.RackFactor,
+			Decision:   logDecision(log, metrics),
 		},
 	}, l)
 	ingress := &adapter.Ingress{Door: p.door, Log: log, Jobs: &caller.Jobs{Store: store, Health: health, Ask: p.candidate.Ask, Log: log}}
@@ -171,7 +207,7 @@
 func (p *jobEntry) stop() {
 	p.door.Stop()
 	p.candidate.Close()
-	time.Sleep(drainNotice)
+	time.Sleep(p.notice)
 	p.callers.shutdown(drainLimit)
 	p.kill()
 }
--- a/io/worker/order.go
+++ b/io/worker/order.go
@@ -67,7 +67,7 @@
 		a.startedAt[r] = time.Now()
 		a.report()
 		return true
-	case errors.As(err, &refused) && !stop && refused.Reason != ReasonBusy:
+	case errors.As(err, &refused) && !stop:
 		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Str("reason", refused.Reason).Msg("start_refused")
 		p.stop, p.reason = true, refused.Reason
 		return false
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -84,5 +84,4 @@
 const (
 	ReasonOtherLife = "other_lifetime"
 	ReasonUnhealthy = "unhealthy"
-	ReasonBusy      = "busy" // try again
 )
