Keep the age of a job on the steady clock

Cause: by reading: a job's age was the scheduler's time of day less that of the entry which accepted it; a clock that jumps made all jobs older at once, and the rank and the last minute of urgent work follow from it. Change: the time of acceptance is put on the steady clock when a job is taken in. TestAcceptedByAClockThatIsAhead failed before.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -79,7 +79,11 @@
 	e.add(j, now)
 }
 
+// add adds a row to the table. The time of acceptance comes from another
+// machine's clock: from here on it is kept on the steady clock of now, so that no
+// jump of a clock makes jobs older, and it never lies in the future.
 func (e *Engine) add(row wire.Job, now time.Time) *Job {
+	row.Accepted = now.Add(-max(now.Sub(row.Accepted), 0))
 	j := &Job{Job: row, state: wire.JobQueued, shown: wire.JobQueued, stages: make(map[stageKey]*stage)}
 	e.jobs[row.ID] = j
 	e.list = append(e.list, j)
--- a/core/job/place_test.go
+++ b/core/job/place_test.go
@@ -122,6 +122,19 @@
 	is.Equal(len(f.runs("large")), 1)
 }
 
+func TestAcceptedByAClockThatIsAhead(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(1)
+	ahead := f.job("ahead", 1, step(1, 8))
+	ahead.Accepted = f.now.Add(time.Hour)
+	f.e.Submit(ahead, f.now)
+	f.now = f.now.Add(time.Second)
+	f.e.Submit(f.job("later", 1, step(1, 8)), f.now)
+	f.tick()
+	is.Equal(len(f.runs("ahead")), 1) // it came first
+}
+
 func TestAttemptsEndAJob(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
