Bound rows and batches by what the store takes

Cause: by reading: a job of 2,000 tasks made a row of over 100 KB, above the 64 KB of the users' store, and 80 such rows a transaction above 1 MB; the refused transaction would be tried for ever and stop all decisions. Change: a job's row lists its workers once, finished stages have no tasks, and a batch ends at 600 KB. TestRowsStayWithinTheStore covers jobs of the largest size that is accepted; TestRestoreKeepsProgress the new form.

--- a/core/job/commit.go
+++ b/core/job/commit.go
@@ -4,9 +4,13 @@
 	"bramleythread/io/wire"
 )
 
-// maxRows bounds the rows of a batch. The users' store takes 100 entries in a
-// transaction, of which the scheduler's lease and conditions take some.
-const maxRows = 80
+// Bounds of a batch. The users' store takes 100 entries and 1 MB in a
+// transaction, of which the scheduler's lease takes some; values grow by a third
+// on their way there.
+const (
+	maxRows  = 80
+	maxBytes = 600 << 10
+)
 
 // Batch is a set of changes that are to be written together.
 type Batch struct {
@@ -30,10 +34,16 @@
 		return nil
 	}
 	b := &Batch{}
-	n := min(len(e.dirty), maxRows)
-	for _, j := range e.dirty[:n] {
+	n, size := 0, 0
+	for n < len(e.dirty) && n < maxRows {
+		j := e.dirty[n]
+		p := j.progress()
+		if size += p.Msgsize(); size > maxBytes && n > 0 {
+			break
+		}
 		j.dirty = false
-		b.Progress = append(b.Progress, Change{ID: j.ID, Progress: j.progress(), job: j, changes: j.changes})
+		n++
+		b.Progress = append(b.Progress, Change{ID: j.ID, Progress: p, job: j, changes: j.changes})
 	}
 	e.dirty = append([]*Job(nil), e.dirty[n:]...)
 	for len(e.expired) > 0 && n+2*len(b.Expired) < maxRows {
@@ -78,19 +88,35 @@
 	if j.state.Final() && !j.active() {
 		return p
 	}
+	workers := make(map[wire.WorkerRef]int)
 	for _, s := range j.order {
 		sp := wire.StageProgress{Occurrence: s.key.occurrence, Step: s.key.step, Failures: s.failures}
-		for _, t := range s.tasks {
-			tp := wire.TaskProgress{Done: t.done, Run: t.number, Failures: t.failures}
-			if !t.done {
-				tp.Checkpoint = t.checkpoint
-			}
-			if t.run != nil {
-				tp.Node, tp.Instance, tp.Born = t.run.worker.Node, t.run.worker.Instance, t.run.worker.Born
-			}
-			sp.Tasks = append(sp.Tasks, tp)
+		if s.left > 0 || s.active > 0 {
+			sp.Tasks = s.progress(&p, workers)
 		}
 		p.Stages = append(p.Stages, sp)
 	}
 	return p
 }
+
+// progress returns the state of a stage's tasks. It adds their workers to the
+// job's list.
+func (s *stage) progress(p *wire.JobProgress, workers map[wire.WorkerRef]int) []wire.TaskProgress {
+	tasks := make([]wire.TaskProgress, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		tp := wire.TaskProgress{Done: t.done, Run: t.number, Failures: t.failures}
+		if !t.done {
+			tp.Checkpoint = t.checkpoint
+		}
+		if t.run != nil {
+			ref := t.run.worker.ref()
+			if workers[ref] == 0 {
+				p.Workers = append(p.Workers, ref)
+				workers[ref] = len(p.Workers)
+			}
+			tp.Worker = workers[ref]
+		}
+		tasks = append(tasks, tp)
+	}
+	return tasks
+}
--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -102,7 +102,7 @@
 	j.state, j.shown, j.began = p.State, p.State, len(p.Stages) > 0
 	j.changes, j.written = 1, 1
 	for _, sp := range p.Stages {
-		e.restoreStage(j, sp, now)
+		e.restoreStage(j, sp, p.Workers, now)
 	}
 	if j.state.Final() {
 		j.ended = now
@@ -122,9 +122,11 @@
 	}
 }
 
-func (e *Engine) restoreStage(j *Job, sp wire.StageProgress, now time.Time) {
+// restoreStage restores one stage. What does not fit the job is left out: its
+// tasks begin anew.
+func (e *Engine) restoreStage(j *Job, sp wire.StageProgress, workers []wire.WorkerRef, now time.Time) {
 	key := stageKey{sp.Occurrence, sp.Step}
-	if sp.Step >= len(j.Steps) || len(sp.Tasks) != j.Steps[sp.Step].Count {
+	if sp.Step >= len(j.Steps) || len(sp.Tasks) > 0 && len(sp.Tasks) != j.Steps[sp.Step].Count {
 		return
 	}
 	s := j.stages[key]
@@ -132,6 +134,13 @@
 		s = newStage(j, key, now)
 	}
 	s.failures = sp.Failures
+	if len(sp.Tasks) == 0 {
+		for _, t := range s.tasks {
+			t.done = true
+		}
+		s.left = 0
+		return
+	}
 	for i, tp := range sp.Tasks {
 		t := s.tasks[i]
 		t.number, t.failures, t.checkpoint = tp.Run, tp.Failures, tp.Checkpoint
@@ -140,33 +149,38 @@
 			t.done = true
 			s.left--
 		}
-		if tp.Node != "" {
-			e.attach(t, e.absent(tp.Node, tp.Instance, tp.Born), tp.Run, now)
+		if tp.Worker > 0 && tp.Worker <= len(workers) {
+			e.attach(t, e.absent(workers[tp.Worker-1]), tp.Run, now)
 		}
 	}
 }
 
 // absent returns the row of a worker that may run work and of which nothing is
 // known but its name.
-func (e *Engine) absent(node, instance string, born int64) *Worker {
-	w, ok := e.workers[node]
-	if ok && w.Instance == instance && w.Born == born {
+func (e *Engine) absent(ref wire.WorkerRef) *Worker {
+	w, ok := e.workers[ref.Node]
+	if ok && w.ref() == ref {
 		return w
 	}
-	key := node
+	key := ref.Node
 	if ok {
-		key = node + " " + instance // an earlier lifetime beside the same agent
+		key = ref.Node + " " + ref.Instance // another lifetime beside the same agent
 		if w, ok = e.workers[key]; ok {
 			return w
 		}
 	}
-	w = newWorker(node, e.since.Add(e.cfg.LeaseLimit))
-	w.Instance, w.Born = instance, born
+	w = newWorker(ref.Node, e.since.Add(e.cfg.LeaseLimit))
+	w.Instance, w.Born = ref.Instance, ref.Born
 	e.workers[key] = w
 	e.sortWorkers()
 	return w
 }
 
+// ref names the worker's lifetime.
+func (w *Worker) ref() wire.WorkerRef {
+	return wire.WorkerRef{Node: w.Node, Instance: w.Instance, Born: w.Born}
+}
+
 func newWorker(node string, lostAt time.Time) *Worker {
 	return &Worker{
 		Node:   node,
--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -237,3 +237,61 @@
 	is.Equal(f.runs("new")[0].number, 1) // the run on the second lifetime goes on
 	is.Equal(len(f.runs("old")), 0)      // that on the first is over
 }
+
+// rowLimit is the size of a row that the users' store takes.
+const rowLimit = 64 << 10
+
+func TestRowsStayWithinTheStore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(12)
+	small := wire.JobStep{Count: MaxTasks, Checkpoints: true, Demand: wire.Resources{CPU: 100}}
+	for i := range 40 {
+		f.e.Submit(f.job(fmt.Sprintf("j%d", i), 1, small), f.now)
+	}
+	f.e.Tick(f.now)
+	for _, j := range f.e.list {
+		for _, s := range j.order {
+			for _, task := range s.tasks {
+				task.checkpoint = "00000bb87a21d94b"
+			}
+		}
+		f.e.touch(j)
+	}
+	written := 0
+	for b := f.e.Flush(); b != nil; b = f.e.Flush() {
+		size := 0
+		for _, c := range b.Progress {
+			value, err := c.Progress.MarshalMsg(nil)
+			is.NoErr(err)
+			is.True(len(value) <= rowLimit)
+			size += len(value)
+			written++
+		}
+		is.True(size <= 700<<10) // two thirds of a transaction
+		f.e.Committed(b)
+	}
+	is.Equal(written, 40)
+}
+
+func TestRestoreKeepsProgress(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(2)
+	second := step(3, 2)
+	second.After = []int{0}
+	f.e.Submit(f.job("j", 1, step(2, 4), second), f.now)
+	f.tick()
+	for i := range 2 {
+		f.report(node(i), nil, map[wire.TaskID]wire.RunEnd{{Job: "j", Index: 0}: wire.EndDone, {Job: "j", Index: 1}: wire.EndDone})
+	}
+	f.tick()
+	before := f.runs("j")
+	f.restart()
+	is.Equal(f.e.jobs["j"].stages[stageKey{0, 0}].left, 0)
+	is.Equal(len(f.runs("j")), 3)
+	for i, r := range f.runs("j") {
+		is.Equal(r.worker.Node, before[i].worker.Node)
+		is.Equal(r.number, before[i].number)
+	}
+}
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -12,7 +12,7 @@
 //msgp:shim JobState as:string using:string/JobState
 //msgp:shim WorkerState as:string using:string/WorkerState
 //msgp:shim RunEnd as:string using:string/RunEnd
-//msgp:tuple TaskID TaskRun Resources TaskProgress StageProgress RunningTask EndedRun RefusedRun
+//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun
 
 // JobState is how far a job has come, as callers see it.
 type JobState string
@@ -117,20 +117,25 @@
 	Run  int
 }
 
-// TaskProgress is the durable state of a task. Node, Instance and Born name
-// the worker of an active run; Node is empty if none is active.
+// WorkerRef names one lifetime of the worker beside an agent.
+type WorkerRef struct {
+	Node     string
+	Instance string
+	Born     int64
+}
+
+// TaskProgress is the durable state of a task. Worker is the place of the
+// active run's worker in the job's list, counted from 1; 0 if none is active.
 type TaskProgress struct {
 	Done       bool
 	Run        int
 	Failures   int
-	Node       string
-	Instance   string
-	Born       int64
+	Worker     int
 	Checkpoint string
 }
 
 // StageProgress is the durable state of one step of one occurrence that has
-// begun.
+// begun. It has no tasks once all of them are done and none runs.
 type StageProgress struct {
 	Occurrence int
 	Step       int
@@ -140,8 +145,9 @@
 
 // JobProgress is the durable state of a job that has begun.
 type JobProgress struct {
-	State  JobState        `msg:"state"`
-	Stages []StageProgress `msg:"stages"`
+	State   JobState        `msg:"state"`
+	Workers []WorkerRef     `msg:"workers"`
+	Stages  []StageProgress `msg:"stages"`
 }
 
 // SchedulerLease is the row that makes one process the scheduler. Every
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -382,17 +382,27 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *JobProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "state"
-	o = append(o, 0x82, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = append(o, 0x83, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 	o = msgp.AppendString(o, string(z.State))
+	// string "workers"
+	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+	for za0001 := range z.Workers {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Workers[za0001].Node)
+		o = msgp.AppendString(o, z.Workers[za0001].Instance)
+		o = msgp.AppendInt64(o, z.Workers[za0001].Born)
+	}
 	// string "stages"
 	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
-	for za0001 := range z.Stages {
-		o, err = z.Stages[za0001].MarshalMsg(o)
+	for za0002 := range z.Stages {
+		o, err = z.Stages[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Stages", za0001)
+			err = msgp.WrapError(err, "Stages", za0002)
 			return
 		}
 	}
@@ -431,26 +441,69 @@
 				}
 				z.State = JobState(zb0002)
 			}
-		case "stages":
+		case "workers":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stages")
+				err = msgp.WrapError(err, "Workers")
 				return
 			}
 			if zb0003 > zbb7e218elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Stages) >= int(zb0003) {
-				z.Stages = (z.Stages)[:zb0003]
+			if cap(z.Workers) >= int(zb0003) {
+				z.Workers = (z.Workers)[:zb0003]
+			} else {
+				z.Workers = make([]WorkerRef, zb0003)
+			}
+			for za0001 := range z.Workers {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+				if zb0004 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+					return
+				}
+				z.Workers[za0001].Node, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001, "Node")
+					return
+				}
+				z.Workers[za0001].Instance, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001, "Instance")
+					return
+				}
+				z.Workers[za0001].Born, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001, "Born")
+					return
+				}
+			}
+		case "stages":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stages")
+				return
+			}
+			if zb0005 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Stages) >= int(zb0005) {
+				z.Stages = (z.Stages)[:zb0005]
 			} else {
-				z.Stages = make([]StageProgress, zb0003)
+				z.Stages = make([]StageProgress, zb0005)
 			}
-			for za0001 := range z.Stages {
-				bts, err = z.Stages[za0001].UnmarshalMsg(bts)
+			for za0002 := range z.Stages {
+				bts, err = z.Stages[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stages", za0001)
+					err = msgp.WrapError(err, "Stages", za0002)
 					return
 				}
 			}
@@ -468,9 +521,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *JobProgress) Msgsize() (s int) {
-	s = 1 + 6 + msgp.StringPrefixSize + len(string(z.State)) + 7 + msgp.ArrayHeaderSize
-	for za0001 := range z.Stages {
-		s += z.Stages[za0001].Msgsize()
+	s = 1 + 6 + msgp.StringPrefixSize + len(string(z.State)) + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Workers {
+		s += 1 + msgp.StringPrefixSize + len(z.Workers[za0001].Node) + msgp.StringPrefixSize + len(z.Workers[za0001].Instance) + msgp.Int64Size
+	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0002 := range z.Stages {
+		s += z.Stages[za0002].Msgsize()
 	}
 	return
 }
@@ -1625,14 +1682,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendBool(o, z.Done)
 	o = msgp.AppendInt(o, z.Run)
 	o = msgp.AppendInt(o, z.Failures)
-	o = msgp.AppendString(o, z.Node)
-	o = msgp.AppendString(o, z.Instance)
-	o = msgp.AppendInt64(o, z.Born)
+	o = msgp.AppendInt(o, z.Worker)
 	o = msgp.AppendString(o, z.Checkpoint)
 	return
 }
@@ -1645,8 +1700,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Done, bts, err = msgp.ReadBoolBytes(bts)
@@ -1664,19 +1719,9 @@
 		err = msgp.WrapError(err, "Failures")
 		return
 	}
-	z.Node, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Node")
-		return
-	}
-	z.Instance, bts, err = msgp.ReadStringBytes(bts)
+	z.Worker, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Instance")
-		return
-	}
-	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Born")
+		err = msgp.WrapError(err, "Worker")
 		return
 	}
 	z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
@@ -1690,7 +1735,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TaskProgress) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.Node) + msgp.StringPrefixSize + len(z.Instance) + msgp.Int64Size + msgp.StringPrefixSize + len(z.Checkpoint)
+	s = 1 + msgp.BoolSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.Checkpoint)
 	return
 }
 
@@ -2121,6 +2166,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z WorkerRef) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Node)
+	o = msgp.AppendString(o, z.Instance)
+	o = msgp.AppendInt64(o, z.Born)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WorkerRef) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Node, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Node")
+		return
+	}
+	z.Instance, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z WorkerRef) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Node) + msgp.StringPrefixSize + len(z.Instance) + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
