--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -51,32 +51,37 @@
 
 // Jobs takes in durable jobs: a job is accepted once its row is written.
 type Jobs struct {
-	Health *platform.Health
-	Store  platform.Store
-	Ask    func(ctx context.Context, m wire.Message) (wire.Message, error) // the scheduler
-	Log    zerolog.Logger
-	Decide func(what string) // counts a decision
+	Health  *platform.Health
+	Store   platform.Store
+	Ask     func(ctx context.Context, m wire.Message) (wire.Message, error) // the scheduler
+	Log     zerolog.Logger
+	Metrics *JobMetrics
 }
 
 // Submit stores a job. The same id again is the same job.
 func (s *Jobs) Submit(ctx context.Context, j wire.Job) error {
+	start := time.Now()
+	known, err := s.store(ctx, j)
+	s.Metrics.submitted(time.Since(start), err, known)
+	s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Int("steps", len(j.Steps)).
+		Dur("took", time.Since(start)).Str("outcome", outcomeOf(err, known)).AnErr("cause", err).Msg("submit")
+	return err
+}
+
+// store writes a job's row. known tells that it was there already.
+func (s *Jobs) store(ctx context.Context, j wire.Job) (known bool, err error) {
 	if err := s.available(ctx); err != nil {
-		s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Str("outcome", outcomeOf(err, false)).Msg("submit")
-		return err
+		return false, err
 	}
 	value, err := j.MarshalMsg(nil)
 	if err != nil {
-		return err
+		return false, err
 	}
 	key := scheduler.TableJob + "/" + j.ID
-	start := time.Now()
-	known, err := s.write(ctx, platform.Txn{
+	return s.write(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
 	})
-	s.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Int("steps", len(j.Steps)).
-		Dur("took", time.Since(start)).Str("outcome", outcomeOf(err, known)).AnErr("cause", err).Msg("submit")
-	return err
 }
 
 // outcomeOf names the outcome of a submission for the log.
--- a/io/operator/local_jobs.go
+++ b/io/operator/local_jobs.go
@@ -74,7 +74,9 @@
 	go l.announce(standins)
 	l.api = &caller.JobAPI{
 		Door: caller.NewDoor(catalog, health, localRevocation),
-		Jobs: &caller.Jobs{Store: health.Store(), Health: health, Ask: l.candidate.Ask, Log: log},
+		Jobs: &caller.Jobs{
+			Store: health.Store(), Health: health, Ask: l.candidate.Ask, Log: log, Metrics: caller.NewJobMetrics(registry, catalog),
+		},
 	}
 	l.api.Register(mux)
 	return l, nil
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -163,7 +163,9 @@
 			Decision:   logDecision(log, metrics),
 		},
 	}, l)
-	ingress := &adapter.Ingress{Door: p.door, Log: log, Jobs: &caller.Jobs{Store: store, Health: health, Ask: p.candidate.Ask, Log: log}}
+	ingress := &adapter.Ingress{Door: p.door, Log: log, Jobs: &caller.Jobs{
+		Store: store, Health: health, Ask: p.candidate.Ask, Log: log, Metrics: caller.NewJobMetrics(registry, p.catalog),
+	}}
 	mux := newMux(registry, p.door.Ready)
 	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !p.door.Ready() {
@@ -196,7 +198,7 @@
 // logDecision logs and counts the decisions of the scheduler.
 func logDecision(log zerolog.Logger, m *scheduler.Metrics) func(d job.Decision) {
 	return func(d job.Decision) {
-		m.Decided(d.What)
+		m.Decided(d)
 		log.Info().Str("job", d.Job).Int("occurrence", d.Task.Occurrence).Int("step", d.Task.Step).Int("index", d.Task.Index).
 			Int("run", d.Run).Str("worker", d.Worker).Str("reason", d.Reason).Dur("age", d.Age).Msg(d.What)
 	}
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"bramleythread/core/job"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -11,6 +13,7 @@
 	commits   *prometheus.HistogramVec
 	rows      prometheus.Counter
 	decisions *prometheus.CounterVec
+	waits     prometheus.Histogram
 }
 
 // NewMetrics registers the scheduler's metrics.
@@ -29,8 +32,13 @@
 			Name: "bramleythread_job_decisions_total",
 			Help: "Decisions of the scheduler on jobs.",
 		}, []string{"what"}),
+		waits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "bramleythread_first_placement_seconds",
+			Help:    "Age of a job when a task of it was placed for the first time.",
+			Buckets: prometheus.ExponentialBuckets(0.008, 2, 14),
+		}),
 	}
-	r.MustRegister(m.commits, m.rows, m.decisions)
+	r.MustRegister(m.commits, m.rows, m.decisions, m.waits)
 	return m
 }
 
@@ -44,4 +52,9 @@
 }
 
 // Decided counts a decision.
-func (m *Metrics) Decided(what string) { m.decisions.WithLabelValues(what).Inc() }
+func (m *Metrics) Decided(d job.Decision) {
+	m.decisions.WithLabelValues(d.What).Inc()
+	if d.What == "place" && d.Run == 1 {
+		m.waits.Observe(d.Age.Seconds())
+	}
+}
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -123,7 +123,9 @@
 // jobs returns the callers' side of an entry.
 func (s *system) jobs(entry int) *caller.Jobs {
 	health := platform.NewHealth(s.store.Store(), zerolog.Nop(), prometheus.NewRegistry())
-	return &caller.Jobs{Store: health.Store(), Health: health, Ask: s.entries[entry].Ask, Log: zerolog.Nop()}
+	return &caller.Jobs{Store: health.Store(), Health: health, Ask: s.entries[entry].Ask, Log: zerolog.Nop(),
+		Metrics: caller.NewJobMetrics(prometheus.NewRegistry(), caller.FixedCatalog(nil)),
+	}
 }
 
 func (s *system) submit(id, spec string, steps ...wire.JobStep) {
