--- a/core/job/report.go
+++ b/core/job/report.go
@@ -56,7 +56,8 @@
 	}
 }
 
-// leaveSlack is how much longer than it says a draining worker usually stays.
+// leaveSlack is how much longer than it says a draining worker usually stays:
+// the users' workers linger for 1.5 s.
 const leaveSlack = time.Second
 
 // NewLink tells that an agent has opened a new connection, on which the numbers
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -10,7 +10,7 @@
 )
 
 // reportLimit is the age of a worker's last report up to which it gets new
-// work: three report intervals of an agent.
+// work: six report intervals of an agent, a take-over among them.
 const reportLimit = 3 * time.Second
 
 // Tick runs the systems: it ends runs of lost workers, opens occurrences that
