Write checkpoints to the rows, so that work outlasts a loss of all machines

Change: a new checkpoint lets a job's row be written, at most each 3 s. TestCheckpointsOutlastAllMachines failed before.

--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -238,6 +238,39 @@
 	is.Equal(len(f.runs("old")), 0)      // that on the first is over
 }
 
+func TestCheckpointsOutlastAllMachines(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(1)
+	saves := step(1, 8)
+	saves.Checkpoints = true
+	f.e.Submit(f.job("j", 1, saves), f.now)
+	f.tick()
+	var rows []wire.JobProgress
+	for i := range 20 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.report(node(0), func(r *wire.WorkerReport) { r.Running[0].Checkpoint = fmt.Sprintf("c%d", i) }, nil)
+		f.e.Tick(f.now)
+		if b := f.e.Flush(); b != nil {
+			rows = append(rows, b.Progress[0].Progress)
+			f.e.Committed(b)
+		}
+	}
+	is.True(len(rows) >= 3 && len(rows) <= 4) // not for each checkpoint
+	last := rows[len(rows)-1]
+	row := f.e.jobs["j"].Job
+	f.e = New(f.config(), f.now)
+	f.e.Restore(row, &last, f.now)
+	f.report(node(0), func(r *wire.WorkerReport) { r.Worker.Born, r.Running = 2, nil }, nil)
+	f.tick()
+	f.commit()
+	o, ok := f.e.Orders(node(0))
+	is.True(ok)
+	is.Equal(len(o.Starts), 1)
+	is.Equal(o.Starts[0].Checkpoint, last.Stages[0].Tasks[0].Checkpoint)
+	is.True(o.Starts[0].Checkpoint != "")
+}
+
 // rowLimit is the size of a row that the users' store takes.
 const rowLimit = 64 << 10
 
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -16,15 +16,16 @@
 type Job struct {
 	wire.Job
 
-	state   wire.JobState
-	shown   wire.JobState // the state that is durable
-	began   bool          // a task has been ordered
-	stages  map[stageKey]*stage
-	order   []*stage // in the order in which they were made
-	ended   time.Time
-	changes uint64 // counts changes of the durable state
-	written uint64 // changes that are durable
-	dirty   bool
+	state    wire.JobState
+	shown    wire.JobState // the state that is durable
+	began    bool          // a task has been ordered
+	stages   map[stageKey]*stage
+	order    []*stage // in the order in which they were made
+	ended    time.Time
+	recorded time.Time // when its row was last written for a checkpoint
+	changes  uint64    // counts changes of the durable state
+	written  uint64    // changes that are durable
+	dirty    bool
 }
 
 type stageKey struct{ occurrence, step int }
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -160,9 +160,24 @@
 		if r.task.stage.step.Gang {
 			r.task.stage.share(t.Checkpoint)
 		}
+		e.recordCheckpoint(r.task.stage.job, now)
 	}
 }
 
+// checkpointInterval is the least time between two writes of a job's row for
+// checkpoints alone. It bounds the work that is lost if all machines are: a
+// worker keeps its checkpoints no longer than its lifetime.
+const checkpointInterval = 3 * time.Second
+
+// recordCheckpoint lets a job's row be written for a new checkpoint.
+func (e *Engine) recordCheckpoint(j *Job, now time.Time) {
+	if j.state.Final() || now.Sub(j.recorded) < checkpointInterval {
+		return
+	}
+	j.recorded = now
+	e.touch(j)
+}
+
 // Times of a run that stands still.
 const (
 	// stallLimit is several intervals of an agent's reports.
