Retry elsewhere when an upstream crashes under a task

Its log shows four attempts within 4 ms on the worker whose upstream had just crashed: a lost answer queued the request again without excluding the worker, and the agent did not know yet. Ruled out: the load as such (the attempts took 1.6, 0.3, 0.1 and 0.4 ms), the shorter keep-alives of the frames (no connection ended). Change: the worker is excluded for the request, as for a lost attempt.

--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -315,6 +315,9 @@
 	defer e.mu.Unlock()
 	r.checkpoint = result.Checkpoint
 	r.maybeRan = r.maybeRan || result.Started
+	if result.Reason == wire.ReasonUpstreamError {
+		e.sched.Exclude(r.id, worker) // its agent may not know yet that the upstream is down
+	}
 	r.note(now, "preempted on %s: %s", worker, result.Reason)
 	e.cfg.Metrics.preempted.Inc()
 	e.sched.Preempted(r.id, now)
