Write each end of a run to its job's row, also behind a final state

Ruled out: late links of the agents (linked within 0.3 s), lost reports. Change: every end is written before it is acknowledged. A stop that an earlier scheduler has ordered is over if the worker's first report shows neither the run nor an order without an outcome; agents report such orders (Pending). Test: TestEndedJobsHoldNoRoomAfterATakeOver and TestStopsThatAnEarlierSchedulerOrdered failed first. The fleet of the tests now restarts from the rows as they were written, where it used to write them anew: so TestInvariants failed too ("over its capacity"), and passes 9,000 checks now. TestEndsBehindAFinalStateWait expects one more write before the second acknowledgement, which is stricter.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -150,7 +150,7 @@
 			s.left--
 		}
 		if tp.Worker > 0 && tp.Worker <= len(workers) {
-			e.attach(t, e.absent(workers[tp.Worker-1]), tp.Run, now)
+			e.attach(t, e.absent(workers[tp.Worker-1]), tp.Run, now).restored = true
 		}
 	}
 }
--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -17,13 +17,14 @@
 	now      time.Time
 	sequence uint64
 	ends     map[string]int
+	rows     map[string]wire.JobProgress // as written
 	seen     []Decision
 }
 
 var testStart = time.Date(2027, 6, 1, 8, 0, 0, 0, time.UTC)
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, now: testStart, ends: make(map[string]int)}
+	f := &fleet{t: t, now: testStart, ends: make(map[string]int), rows: make(map[string]wire.JobProgress)}
 	f.e = New(f.config(), f.now)
 	return f
 }
@@ -84,6 +85,9 @@
 
 func (f *fleet) commit() {
 	if b := f.e.Flush(); b != nil {
+		for _, c := range b.Progress {
+			f.rows[c.ID] = c.Progress
+		}
 		f.e.Committed(b)
 	}
 }
@@ -128,8 +132,11 @@
 	old := f.e
 	f.e = New(f.config(), f.now)
 	for _, j := range old.list {
-		p := j.progress()
-		f.e.Restore(j.Job, &p, f.now)
+		if p, ok := f.rows[j.ID]; ok {
+			f.e.Restore(j.Job, &p, f.now)
+		} else {
+			f.e.Restore(j.Job, nil, f.now)
+		}
 	}
 }
 
@@ -204,6 +211,9 @@
 	is.Equal(o.Acked, 0)
 	f.e.Committed(b)
 	o, _ = f.e.Orders(node(1))
+	is.Equal(o.Acked, 0) // the row still names this worker
+	f.commit()
+	o, _ = f.e.Orders(node(1))
 	is.Equal(o.Acked, 1)
 }
 
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -88,6 +88,7 @@
 	worker   *Worker
 	phase    phase
 	change   uint64 // of the job that records the run
+	restored bool   // an earlier scheduler has placed it
 	placed   time.Time
 	began    time.Time     // when the worker listed it first
 	percent  int           // of the work that is done
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -35,6 +35,7 @@
 	}
 	w.looked = r.Looked
 	e.takeRunning(w, r.Running, now)
+	e.dropStops(w, r, now)
 	if w.State == wire.WorkerDraining {
 		e.drain(w, now)
 	}
@@ -138,6 +139,24 @@
 	}
 }
 
+// dropStops ends the runs that an earlier scheduler has ordered to stop, if the
+// worker neither has them nor may start them any more: it has acknowledged this
+// scheduler's token, and its agent knows of no order without an outcome.
+func (e *Engine) dropStops(w *Worker, r *wire.WorkerReport, now time.Time) {
+	there := make(map[wire.TaskRun]bool, len(r.Running)+len(r.Pending))
+	for _, t := range r.Running {
+		there[wire.TaskRun{Task: t.Task, Run: t.Run}] = true
+	}
+	for _, t := range r.Pending {
+		there[t] = true
+	}
+	for id, run := range w.runs {
+		if run.restored && run.phase == stopping && !there[wire.TaskRun{Task: id, Run: run.number}] {
+			e.end(run, wire.EndStopped, "", "not_there", now)
+		}
+	}
+}
+
 // listed takes in what a worker says of a run.
 func (e *Engine) listed(r *run, t wire.RunningTask, now time.Time) {
 	if r.began.IsZero() {
@@ -271,10 +290,10 @@
 		}
 	}
 	e.decide(Decision{What: "run_end", Job: j.ID, Task: t.id(), Run: r.number, Worker: r.worker.Node, Reason: reason, Age: now.Sub(j.Accepted)})
+	e.touch(j) // also if nothing else changes: its row names the worker
 	if j.state.Final() || t.done {
 		return
 	}
-	e.touch(j)
 	switch {
 	case how == wire.EndDone && !s.step.LongRunning:
 		e.learn(r, now)
--- /dev/null
+++ b/core/job/restore_test.go
@@ -0,0 +1,70 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"bramleythread/io/wire"
+
+	"github.com/matryer/is"
+)
+
+// TestEndedJobsHoldNoRoomAfterATakeOver cancels a job whose runs end after the
+// row with its final state is written.
+func TestEndedJobsHoldNoRoomAfterATakeOver(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(1)
+	f.e.Submit(f.job("cancelled", 1, step(1, 8)), f.now)
+	f.tick()
+	f.report(node(0), nil, nil)
+	f.e.Cancel("cancelled", f.now)
+	f.tick()
+	f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "cancelled"}: wire.EndStopped})
+	f.tick()
+
+	f.restart()
+	is.Equal(len(f.runs("cancelled")), 0)
+	f.report(node(0), nil, nil)
+	f.e.Submit(f.job("next", 1, step(1, 8)), f.now)
+	f.tick()
+	is.Equal(len(f.runs("next")), 1)
+}
+
+// TestStopsThatAnEarlierSchedulerOrdered restores runs that must end. What the
+// worker shows in its first report under the new scheduler decides what is left
+// of them.
+func TestStopsThatAnEarlierSchedulerOrdered(t *testing.T) {
+	run := wire.TaskRun{Task: wire.TaskID{Job: "cancelled"}, Run: 1}
+	tests := map[string]struct {
+		report func(r *wire.WorkerReport)
+		left   int
+	}{
+		"the worker runs it": {
+			report: func(r *wire.WorkerReport) { r.Running = []wire.RunningTask{{Task: run.Task, Run: run.Run}} },
+			left:   1,
+		},
+		"its start may still be carried out": {
+			report: func(r *wire.WorkerReport) { r.Running, r.Pending = nil, []wire.TaskRun{run} },
+			left:   1,
+		},
+		"the worker does not know it": {
+			report: func(r *wire.WorkerReport) { r.Running = nil },
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.workers(1)
+			f.e.Submit(f.job("cancelled", 1, step(1, 8)), f.now)
+			f.tick()
+			f.e.Cancel("cancelled", f.now)
+			f.tick()
+			f.restart()
+			f.now = f.now.Add(time.Second)
+			f.report(node(0), tt.report, nil)
+			is.Equal(len(f.runs("cancelled")), tt.left)
+		})
+	}
+}
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -209,6 +209,7 @@
 	Running  []RunningTask `msg:"running"`
 	Ended    []EndedRun    `msg:"ended"`
 	Refused  []RefusedRun  `msg:"refused"`
+	Pending  []TaskRun     `msg:"pending"` // starts and stops whose outcome is not known yet
 }
 
 // StartTask orders the start of a run.
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -2217,9 +2217,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "sequence"
-	o = append(o, 0x88, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+	o = append(o, 0x89, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
 	o = msgp.AppendUint64(o, z.Sequence)
 	// string "node"
 	o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
@@ -2271,6 +2271,19 @@
 		o = msgp.AppendInt(o, z.Refused[za0003].Run)
 		o = msgp.AppendString(o, z.Refused[za0003].Reason)
 	}
+	// string "pending"
+	o = append(o, 0xa7, 0x70, 0x65, 0x6e, 0x64, 0x69, 0x6e, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pending)))
+	for za0004 := range z.Pending {
+		// array header, size 2
+		o = append(o, 0x92)
+		o, err = z.Pending[za0004].Task.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Pending", za0004, "Task")
+			return
+		}
+		o = msgp.AppendInt(o, z.Pending[za0004].Run)
+	}
 	return
 }
 
@@ -2415,6 +2428,44 @@
 					return
 				}
 			}
+		case "pending":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pending")
+				return
+			}
+			if zb0006 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Pending) >= int(zb0006) {
+				z.Pending = (z.Pending)[:zb0006]
+			} else {
+				z.Pending = make([]TaskRun, zb0006)
+			}
+			for za0004 := range z.Pending {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pending", za0004)
+					return
+				}
+				if zb0007 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0007}
+					return
+				}
+				bts, err = z.Pending[za0004].Task.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pending", za0004, "Task")
+					return
+				}
+				z.Pending[za0004].Run, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pending", za0004, "Run")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2441,6 +2492,10 @@
 	for za0003 := range z.Refused {
 		s += 1 + z.Refused[za0003].Task.Msgsize() + msgp.IntSize + msgp.StringPrefixSize + len(z.Refused[za0003].Reason)
 	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0004 := range z.Pending {
+		s += 1 + z.Pending[za0004].Task.Msgsize() + msgp.IntSize
+	}
 	return
 }
 
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -244,6 +244,9 @@
 	for _, t := range a.running {
 		m.Running = append(m.Running, t)
 	}
+	for r := range a.pending {
+		m.Pending = append(m.Pending, r)
+	}
 	for r, reason := range a.refused {
 		m.Refused = append(m.Refused, wire.RefusedRun{Task: r.Task, Run: r.Run, Reason: reason})
 	}
