Keep agents linked through an outage, and find a new scheduler by the lease's feed

(1) In an outage of the whole store its holder offered the lease and dropped its agents, which linked and were dropped each 0.1 s for 3.3 s; ends were taken in 0.8 s after the store was back. (2) A holder without power at 23.08 was followed by nobody until it came back at 25.19: entries first saw its last renewal when their link ended, and waited 1.4 s from then. (3) An agent with unacknowledged ends waited up to 0.4 s before it looked at its worker for a new scheduler, and dialled a dead holder for 0.5 s while another had taken over. Found beside it: between a new connection and its first orders an agent reported what a look with the former token showed, which proves nothing of late orders. Ruled out: slow loads (60 ms), slow store calls. Change: the offer goes to agents too; they follow the lease and stay until another holds it. Renewals come each 0.4 s, and 0.9 s without one are enough if the holder cannot be reached. Reports wait for the first orders of their connection. Test: TestNoReportBeforeTheFirstOrders and TestOutageChangesNoScheduler failed first.

--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -277,7 +277,7 @@
 func (h *holder) confirmed() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return time.Since(h.confirmAt) <= ConfirmLimit && !h.yielding
+	return time.Since(h.confirmAt) <= ConfirmLimit
 }
 
 func (h *holder) close() {
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -19,17 +19,18 @@
 
 // Tables and rows of the scheduler.
 const (
-	TableJob      = "job"      // accepted jobs, and marks of cancelled ones
-	TableProgress = "progress" // written by the scheduler alone
-	leaseKey      = "scheduler/lease"
-	CancelSuffix  = ".cancel" // after a job's key
+	TableJob       = "job"       // accepted jobs, and marks of cancelled ones
+	TableProgress  = "progress"  // written by the scheduler alone
+	TableScheduler = "scheduler" // who decides
+	leaseKey       = TableScheduler + "/lease"
+	CancelSuffix   = ".cancel" // after a job's key
 )
 
 // Times of the lease.
 const (
-	renewInterval = time.Second             // a third of what others wait for
-	staleLimit    = 2500 * time.Millisecond // unchanged for so long, the lease may be taken: two missed renewals
-	lostLimit     = 1400 * time.Millisecond // the same, while its holder cannot be reached either: one missed renewal
+	renewInterval = 400 * time.Millisecond  // checked at each tick, so each half second
+	staleLimit    = 2500 * time.Millisecond // unchanged for so long, the lease may be taken: twice what a slow store needs
+	lostLimit     = 900 * time.Millisecond  // the same, while its holder cannot be reached either: one missed renewal
 	pollLinked    = 2 * time.Second         // while the scheduler answers
 	pollUnlinked  = 250 * time.Millisecond  // while it does not
 	commitTimeout = 1500 * time.Millisecond // several times an answer of a slow store
--- a/io/scheduler/serve.go
+++ b/io/scheduler/serve.go
@@ -25,43 +25,40 @@
 	}
 }
 
-// yield asks the other entries to take over and lets agents look for them. This
-// process stays the scheduler until one of them has.
+// yield asks the other entries to take over and lets agents look whether one
+// has. This process stays the scheduler until then, and its agents stay linked:
+// if nobody reaches the store, nobody takes over.
 func (h *holder) yield() {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.yielding {
-		h.mu.Unlock()
 		return
 	}
 	h.yielding = true
-	h.tellEntries(&wire.Yield{Epoch: h.writer.lease.Epoch})
-	h.mu.Unlock()
 	h.cfg.Log.Warn().Uint64("epoch", h.writer.lease.Epoch).Msg("lease_offered")
-	h.dropAgents()
+	for c := range h.links {
+		h.tell(c, &wire.Yield{Epoch: h.writer.lease.Epoch})
+	}
 }
 
-// tellEntries sends a message to the entries. One whose link is lost reads the
-// lease itself.
+// tellEntries sends a message to the entries.
 func (h *holder) tellEntries(m wire.Message) {
 	for c := range h.links {
-		if c.Closed() {
-			delete(h.links, c)
-		} else if c.Peer().Role == wire.RoleEntry {
-			if err := c.Send(m); err != nil {
-				h.cfg.Log.Debug().Str("entry", c.Peer().Name).Err(err).Msg("message_not_sent")
-			}
+		if c.Peer().Role == wire.RoleEntry {
+			h.tell(c, m)
 		}
 	}
 }
 
-// dropAgents ends the connections of agents.
-func (h *holder) dropAgents() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for node, a := range h.agents {
-		a.conn.Close()
-		delete(h.links, a.conn)
-		delete(h.agents, node)
+// tell sends a message that may be lost: a process whose link has ended reads
+// the lease itself.
+func (h *holder) tell(c *frame.Conn, m wire.Message) {
+	if c.Closed() {
+		delete(h.links, c)
+		return
+	}
+	if err := c.Send(m); err != nil {
+		h.cfg.Log.Debug().Str("peer", c.Peer().Name).Err(err).Msg("message_not_sent")
 	}
 }
 
@@ -88,6 +85,9 @@
 	h.agents[p.Name] = a
 	h.engine.NewLink(p.Name)
 	h.cfg.Log.Info().Str("agent", p.Name).Uint64("token", a.token).Msg("agent_linked")
+	if h.yielding {
+		h.tell(c, &wire.Yield{Epoch: h.writer.lease.Epoch})
+	}
 	h.wg.Add(1)
 	go h.deliver(p.Name, a)
 	a.notify()
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -49,6 +49,8 @@
 	unanswered bool // the last call of the hold loop has failed
 
 	mu        sync.Mutex
+	conn      *frame.Conn // to the scheduler whose orders count
+	ordered   bool        // its first orders, with its token, have come
 	info      wire.WorkerInfo
 	announce  uint64 // sequence of the newest announcement
 	clock     time.Duration
@@ -191,32 +193,42 @@
 const maxLife = 255
 
 // connected begins anew on a new connection to the scheduler.
-func (a *Agent) connected(*frame.Conn) {
+func (a *Agent) connected(c *frame.Conn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	granted := a.orders.Granted
-	a.orders = wire.WorkerOrders{Token: a.orders.Token, Granted: granted}
+	if a.conn != c { // its first orders may have come before
+		a.begin(c)
+	}
+}
+
+// begin forgets what an earlier connection has ordered. Until the first orders
+// of the new one, with its token, the worker may still carry out older ones.
+func (a *Agent) begin(c *frame.Conn) {
+	a.conn, a.ordered = c, false
+	a.orders = wire.WorkerOrders{Token: a.orders.Token, Granted: a.orders.Granted}
 	a.seen = false
 	clear(a.refused)
 }
 
 // handle takes in orders.
-func (a *Agent) handle(_ context.Context, _ *frame.Conn, m wire.Message) wire.Message {
+func (a *Agent) handle(_ context.Context, c *frame.Conn, m wire.Message) wire.Message {
 	o, ok := m.(*wire.WorkerOrders)
 	if !ok {
 		return nil
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if o.Token < a.orders.Token || o.Token == a.orders.Token && o.Sequence <= a.orders.Sequence {
+	if o.Token < a.orders.Token || o.Token == a.orders.Token && (c != a.conn || o.Sequence <= a.orders.Sequence) {
 		return nil
 	}
-	first := o.Token != a.orders.Token
+	if c != a.conn {
+		a.begin(c)
+	}
+	first := !a.ordered
 	o.Granted = max(o.Granted, a.orders.Granted)
 	acked := o.Acked > a.orders.Acked
-	a.orders = *o
+	a.orders, a.ordered = *o, true
 	if first {
-		a.seen = false
 		a.look()
 	}
 	if acked {
@@ -240,10 +252,10 @@
 			continue
 		}
 		if a.info.State != wire.WorkerReady {
-			a.begin(r, &pending{stop: true, reason: "worker_" + string(a.info.State)}, s)
+			a.order(r, &pending{stop: true, reason: "worker_" + string(a.info.State)}, s)
 			continue
 		}
-		a.begin(r, &pending{}, s)
+		a.order(r, &pending{}, s)
 	}
 	for _, r := range o.Stops {
 		listed[r] = true
@@ -252,7 +264,7 @@
 		case p != nil:
 			p.stop = true
 		case a.refused[r] == "":
-			a.begin(r, &pending{stop: true, reason: "stopped"}, wire.StartTask{Task: r.Task, Run: r.Run})
+			a.order(r, &pending{stop: true, reason: "stopped"}, wire.StartTask{Task: r.Task, Run: r.Run})
 		}
 	}
 	for r := range a.refused {
@@ -262,7 +274,7 @@
 	}
 }
 
-func (a *Agent) begin(r wire.TaskRun, p *pending, s wire.StartTask) {
+func (a *Agent) order(r wire.TaskRun, p *pending, s wire.StartTask) {
 	a.pending[r] = p
 	a.wg.Add(1)
 	go a.carryOut(r, p, s, a.life)
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -18,20 +18,22 @@
 		idle := a.info.Instance == "" || a.info.State == wire.WorkerGone || a.orders.Token == 0
 		a.mu.Unlock()
 		if idle {
-			a.pause(ctx, holdWait, a.fresh)
+			a.pause(ctx, holdWait, a.fresh, nil)
 			continue
 		}
 		a.hold(ctx)
 	}
 }
 
-func (a *Agent) pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// pause waits for a time, or until one of two channels has something.
+func (a *Agent) pause(ctx context.Context, d time.Duration, wake, also <-chan struct{}) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 	case <-t.C:
 	case <-wake:
+	case <-also:
 	}
 }
 
@@ -51,9 +53,9 @@
 	}
 	a.mu.Unlock()
 	if unacked {
-		a.pause(ctx, ackWait, a.acks)
+		a.pause(ctx, ackWait, a.acks, a.fresh)
 		a.mu.Lock()
-		o.Acked, o.Wait = a.orders.Acked, 0
+		o.Acked, o.Token, o.Wait = a.orders.Acked, a.token(), 0
 		if life != a.life || o.Instance != a.info.Instance {
 			o.Acked = 0
 		}
@@ -137,7 +139,7 @@
 	} else {
 		a.cfg.Log.Debug().Err(err).Msg("hold_unanswered")
 	}
-	a.pause(ctx, retryPause, nil)
+	a.pause(ctx, retryPause, nil, nil)
 }
 
 // downLimit is the number of calls in a row that find no process at the
@@ -176,7 +178,7 @@
 	}
 	changed = changed || len(a.running) != len(running) || len(reply.Ended) > 0
 	a.running = running
-	a.seen = a.seen || o.Token == a.token()
+	a.seen = a.seen || a.ordered && o.Token == a.token()
 	a.settle(sent)
 	a.obey()
 	if changed {
@@ -222,7 +224,7 @@
 func (a *Agent) reportLoop(ctx context.Context) {
 	defer a.wg.Done()
 	for ctx.Err() == nil {
-		a.pause(ctx, reportInterval, nil)
+		a.pause(ctx, reportInterval, nil, nil)
 		a.mu.Lock()
 		a.report()
 		a.mu.Unlock()
@@ -233,8 +235,7 @@
 // the worker has been looked at with the token of this connection, so that what
 // it does not list is certain not to start later.
 func (a *Agent) report() {
-	c := a.link.Conn()
-	if c == nil || a.info.Instance == "" || !a.seen && a.info.State != wire.WorkerGone {
+	if a.conn == nil || a.conn.Closed() || a.info.Instance == "" || !a.seen && a.info.State != wire.WorkerGone {
 		return
 	}
 	a.sequence++
@@ -251,7 +252,7 @@
 		m.Refused = append(m.Refused, wire.RefusedRun{Task: r.Task, Run: r.Run, Reason: reason})
 	}
 	a.cfg.Metrics.observe(len(m.Running), len(m.Ended))
-	if err := c.Send(m); err != nil {
+	if err := a.conn.Send(m); err != nil {
 		a.cfg.Log.Debug().Err(err).Msg("report_not_sent")
 	}
 }
--- /dev/null
+++ b/io/worker/link_test.go
@@ -0,0 +1,103 @@
+package worker_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramleythread/io/frame"
+	"bramleythread/io/platform"
+	"bramleythread/io/wire"
+	"bramleythread/io/worker"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// silentScheduler is a scheduler that sends what the test tells it to.
+type silentScheduler struct {
+	conns   chan *frame.Conn
+	reports atomic.Int64
+}
+
+// newSilentScheduler starts one, and names it in the row of the lease.
+func newSilentScheduler(t *testing.T, store platform.Store) *silentScheduler {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &silentScheduler{conns: make(chan *frame.Conn, 8)}
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	key := []byte("0123456789abcdef")
+	go frame.Serve(l, 8, frame.Config{
+		Local: wire.Hello{Role: wire.RoleEntry, Name: "entry", Address: addr}, Key: key,
+		Handle: func(_ context.Context, _ *frame.Conn, m wire.Message) wire.Message {
+			if _, ok := m.(*wire.WorkerReport); ok {
+				s.reports.Add(1)
+			}
+			return nil
+		},
+	}, func(c *frame.Conn) { s.conns <- c })
+	lease := wire.SchedulerLease{Epoch: 1, Holder: "entry", Address: addr, Key: key}
+	value, err := lease.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: "scheduler/lease", Value: value}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestNoReportBeforeTheFirstOrders links an agent anew. Until the scheduler has
+// sent its token, a look at the worker proves nothing: the worker may still
+// carry out older orders.
+func TestNoReportBeforeTheFirstOrders(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStandin().Store()
+	s := newSilentScheduler(t, store)
+	standin := worker.NewStandin(worker.StandinConfig{
+		Info: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}, LeaseLimit: 6 * time.Second,
+	})
+	var looks atomic.Int64
+	w := standin.Worker()
+	hold := w.Hold
+	w.Hold = func(ctx context.Context, o worker.HoldOrder) (worker.HoldReply, error) {
+		o.Wait = min(o.Wait, 10*time.Millisecond)
+		reply, err := hold(ctx, o)
+		looks.Add(1)
+		return reply, err
+	}
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: store, Worker: w, Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+	})
+	defer a.Close()
+	a.Announce(standin.Announcement(1))
+	wait := func(ok func() bool) {
+		t.Helper()
+		for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("not in time")
+			}
+		}
+	}
+
+	first := <-s.conns
+	is.NoErr(first.Send(&wire.WorkerOrders{Sequence: 1, Epoch: 1, Token: 1 << 8}))
+	wait(func() bool { return s.reports.Load() > 0 })
+	first.Close()
+
+	second := <-s.conns
+	time.Sleep(50 * time.Millisecond) // reports of the first connection that are under way
+	before, seen := s.reports.Load(), looks.Load()
+	wait(func() bool { return looks.Load() > seen+80 }) // longer than the interval of reports
+	is.Equal(s.reports.Load(), before)
+	is.NoErr(second.Send(&wire.WorkerOrders{Sequence: 1, Epoch: 1, Token: 2 << 8}))
+	wait(func() bool { return s.reports.Load() > before })
+}
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -62,6 +63,7 @@
 type system struct {
 	t       *testing.T
 	store   *platform.Standin
+	linked  atomic.Int64 // connections of agents to a scheduler
 	links   []*link
 	entries []*scheduler.Candidate
 	agents  []*worker.Agent
@@ -105,7 +107,12 @@
 	s.links = append(s.links, way)
 	s.entries = append(s.entries, scheduler.Start(scheduler.Config{
 		Node: fmt.Sprintf("entry-%d", i), Address: l.Addr().(*net.TCPAddr).AddrPort(), Store: way.Store(),
-		Log: zerolog.Nop(), Metrics: scheduler.NewMetrics(prometheus.NewRegistry()),
+		Log: zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
+			if message == "agent_linked" {
+				s.linked.Add(1)
+			}
+		})),
+		Metrics:    scheduler.NewMetrics(prometheus.NewRegistry()),
 		Guarantees: func() map[string]int { return nil },
 		Engine:     job.Config{LeaseLimit: scheduler.LeaseLimit, Retention: time.Hour, RackFactor: 3},
 	}, l))
@@ -269,13 +276,14 @@
 	s.submit("j", "", tasks(1))
 	s.waitState("j", wire.JobCompleted)
 	time.Sleep(3 * time.Second) // entries have linked, and the lease has been renewed since they read it
-	old := s.holder()
+	old, linked := s.holder(), s.linked.Load()
 	s.store.SetFaults(platform.Faults{Outage: true})
 	time.Sleep(3 * time.Second)
 	s.store.SetFaults(platform.Faults{})
 	s.submit("k", "", tasks(1))
 	s.waitState("k", wire.JobCompleted)
 	is.Equal(s.holder(), old)
+	is.Equal(s.linked.Load(), linked) // the agents have stayed with it
 }
 
 func TestSystemWithLateOrders(t *testing.T) {
