Store jobs by the scheduler, in one transaction with their first runs

Cause: from submission to the first start 104 ms for half of the jobs (aim 60 ms), and 1.6 s and more while the store is slow a hundred times: a probe, the entry's write, the feed, and the scheduler's write follow each other. Ruled out: slow placement (under 1 ms), links (5 ms). Change: an entry asks the scheduler to store the job. Its row is inserted in the transaction that also records its first runs. What the scheduler cannot write it gives back after 0.5 s, and the entry goes its own way as before; an outcome that nobody knows is found out by the entry's own insert, and never called a refusal. Found beside it: a job with a name of 200 kB or a list of 100,000 steps in After made a row that the store takes from nobody; such jobs are invalid now. TestInvariants withdraws jobs too.

--- a/core/job/commit.go
+++ b/core/job/commit.go
@@ -9,7 +9,7 @@
 // on their way there.
 const (
 	maxRows  = 80
-	maxBytes = 600 << 10
+	maxBytes = 500 << 10
 )
 
 // Batch is a set of changes that are to be written together.
--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -256,6 +256,31 @@
 	e.decide(Decision{What: "end", Job: j.ID, Reason: reason + ":" + string(state), Age: now.Sub(j.Accepted)})
 }
 
+// Withdraw takes back a job whose row was not written, with all that was decided
+// for it. None of it has shown yet; a batch that holds changes of it loses them.
+func (e *Engine) Withdraw(id string, b *Batch) {
+	j, ok := e.jobs[id]
+	if !ok || j.written > 0 {
+		return
+	}
+	for _, s := range j.order {
+		e.release(s)
+		for _, t := range s.tasks {
+			if t.run != nil {
+				e.detach(t.run)
+			}
+		}
+	}
+	j.state = wire.JobCancelled // whoever still refers to it finds nothing to do
+	delete(e.jobs, id)
+	e.list = slices.DeleteFunc(e.list, func(other *Job) bool { return other == j })
+	e.dirty = slices.DeleteFunc(e.dirty, func(other *Job) bool { return other == j })
+	if b != nil {
+		b.Progress = slices.DeleteFunc(b.Progress, func(c Change) bool { return c.job == j })
+	}
+	e.decide(Decision{What: "withdraw", Job: id, Reason: "not_written"})
+}
+
 // touch notes that the durable state of a job has changed.
 func (e *Engine) touch(j *Job) {
 	j.changes++
--- a/core/job/place_test.go
+++ b/core/job/place_test.go
@@ -234,6 +234,16 @@
 			"cancel": func(rt *rapid.T) {
 				f.e.Cancel(fmt.Sprintf("j%d", rapid.IntRange(1, max(jobs, 1)).Draw(rt, "job")), f.now)
 			},
+			"withdraw": func(rt *rapid.T) {
+				jobs++
+				id := fmt.Sprintf("j%d", jobs)
+				f.e.Submit(f.job(id, rapid.IntRange(0, 2).Draw(rt, "priority"), step(rapid.IntRange(1, 4).Draw(rt, "count"), 2)), f.now)
+				f.e.Tick(f.now)
+				f.e.Withdraw(id, nil)
+				if _, _, known := f.e.State(id); known {
+					rt.Fatalf("job %s is known after its withdrawal", id)
+				}
+			},
 			"restart": func(*rapid.T) {
 				f.commit()
 				f.restart()
--- a/core/job/restore_test.go
+++ b/core/job/restore_test.go
@@ -68,3 +68,26 @@
 		})
 	}
 }
+
+func TestWithdrawnJobLeavesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(1)
+	f.e.Submit(f.job("kept", 1, step(1, 4)), f.now)
+	f.e.Submit(f.job("withdrawn", 1, step(1, 4)), f.now)
+	f.e.Tick(f.now)
+	b := f.e.Flush()
+	is.Equal(len(b.Progress), 2)
+	f.e.Withdraw("withdrawn", b)
+	is.Equal(len(b.Progress), 1)
+	is.Equal(b.Progress[0].ID, "kept")
+	f.e.Committed(b)
+	_, _, known := f.e.State("withdrawn")
+	is.True(!known)
+	f.e.Submit(f.job("next", 1, step(1, 4)), f.now)
+	f.tick()
+	is.Equal(len(f.runs("next")), 1) // the room is free again
+	o, _ := f.e.Orders(node(0))
+	is.Equal(len(o.Starts), 2)
+	is.Equal(len(o.Stops), 0)
+}
--- a/core/job/validate.go
+++ b/core/job/validate.go
@@ -14,6 +14,11 @@
 	MaxTasks       = 2000 // of all steps of one occurrence
 	MaxOccurrences = 1000
 	maxAmount      = 1 << 30 // of any resource
+	maxText        = 200     // bytes of a label, a rack or an image
+
+	// MaxRow is the size of a job's row in bytes: under the users' limit of
+	// 64 KiB, with room for what an entry adds.
+	MaxRow = 60 << 10
 )
 
 // InvalidError tells why a job cannot be accepted.
@@ -46,6 +51,13 @@
 			return &InvalidError{Field: "steps", Reason: fmt.Sprintf("have more than %d tasks", MaxTasks)}
 		}
 	}
+	row, err := j.MarshalMsg(nil)
+	if err != nil {
+		return &InvalidError{Field: "job", Reason: err.Error()}
+	}
+	if len(row) > MaxRow {
+		return &InvalidError{Field: "job", Reason: fmt.Sprintf("takes %d bytes, limit %d", len(row), MaxRow)}
+	}
 	return nil
 }
 
@@ -62,6 +74,14 @@
 	if s.Estimate < 0 || s.Target < 0 {
 		return &InvalidError{Field: field, Reason: "has a negative time"}
 	}
+	for _, text := range []string{s.Label, s.DataRack, s.Image} {
+		if len(text) > maxText {
+			return &InvalidError{Field: field, Reason: fmt.Sprintf("has a name longer than %d bytes", maxText)}
+		}
+	}
+	if len(s.After) > i {
+		return &InvalidError{Field: field + ".after", Reason: "names a step twice"}
+	}
 	for _, before := range s.After {
 		if before < 0 || before >= i {
 			return &InvalidError{Field: field + ".after", Reason: "names no earlier step"}
--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"bramleythread/io/frame"
 	"bramleythread/io/platform"
 	"bramleythread/io/scheduler"
 	"bramleythread/io/wire"
@@ -24,6 +25,7 @@
 	lookLimit   = 800 * time.Millisecond // for the answer of a store that is slow 100 times
 	maxRetry    = 4 * time.Second        // a longer wait leaves callers too few tries
 	answerSlack = 100 * time.Millisecond // kept of the caller's deadline for the answer's way back
+	offerLimit  = 900 * time.Millisecond // for the scheduler to store a job, two answers of a slow store
 )
 
 // probeKey is a row that is read to see whether the store answers.
@@ -68,10 +70,17 @@
 	return err
 }
 
-// store writes a job's row. known tells that it was there already.
+// store writes a job's row, by the scheduler if one answers: the job then stands
+// in one transaction with its first runs. known tells that it was there already.
 func (s *Jobs) store(ctx context.Context, j wire.Job) (known bool, err error) {
-	if err := s.available(ctx); err != nil {
-		return false, err
+	outcome := s.offer(ctx, j)
+	switch outcome {
+	case wire.SubmitStored, wire.SubmitKnown:
+		return outcome == wire.SubmitKnown, nil
+	case wire.SubmitDeclined:
+		if err := s.available(ctx); err != nil {
+			return false, err
+		}
 	}
 	value, err := j.MarshalMsg(nil)
 	if err != nil {
@@ -81,7 +90,24 @@
 	return s.write(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
-	})
+	}, outcome == wire.SubmitUnknown)
+}
+
+// offer asks the scheduler to store a job.
+func (s *Jobs) offer(ctx context.Context, j wire.Job) wire.SubmitOutcome {
+	ctx, cancel := context.WithTimeout(ctx, offerLimit)
+	defer cancel()
+	m, err := s.Ask(ctx, &wire.SubmitJob{Job: j})
+	if a, ok := m.(*wire.SubmitAnswer); ok && err == nil {
+		return a.Outcome
+	}
+	var none *scheduler.NoSchedulerError
+	var closed *frame.ClosedError
+	if errors.As(err, &none) || errors.As(err, &closed) && !closed.Sent {
+		return wire.SubmitDeclined
+	}
+	s.Log.Info().Str("job", j.ID).Err(err).Msg("submission_unanswered")
+	return wire.SubmitUnknown
 }
 
 // outcomeOf names the outcome of a submission for the log.
@@ -120,9 +146,9 @@
 
 // write applies a transaction that inserts one row. known tells that the row
 // was there already. It tries until the context ends, since a try without an
-// answer may be applied later: only a further try can tell.
-func (s *Jobs) write(ctx context.Context, t platform.Txn) (known bool, err error) {
-	maybe := false
+// answer may be applied later: only a further try can tell. maybe tells that
+// somebody else may be writing the row too.
+func (s *Jobs) write(ctx context.Context, t platform.Txn, maybe bool) (known bool, err error) {
 	start := time.Now()
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, storeTry)
@@ -228,7 +254,7 @@
 		_, err = s.write(ctx, platform.Txn{
 			Conditions: []platform.Condition{{Key: key}},
 			Writes:     []platform.Write{{Key: key, Value: []byte{1}}},
-		})
+		}, false)
 	}
 	s.Log.Info().Str("job", id).Str("state", string(state)).Err(err).Msg("cancel")
 	return err == nil, err
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -103,13 +103,13 @@
 	h.join(conn)
 }
 
-func (c *Candidate) handle(_ context.Context, conn *frame.Conn, m wire.Message) wire.Message {
+func (c *Candidate) handle(ctx context.Context, conn *frame.Conn, m wire.Message) wire.Message {
 	h := c.current()
 	if h == nil {
 		conn.Close()
 		return nil
 	}
-	return h.handle(conn, m)
+	return h.handle(ctx, conn, m)
 }
 
 // hear takes in a message of the scheduler.
@@ -281,7 +281,7 @@
 // Ask asks the scheduler, which may be this process.
 func (c *Candidate) Ask(ctx context.Context, m wire.Message) (wire.Message, error) {
 	if h := c.current(); h != nil {
-		return h.handle(nil, m), nil
+		return h.handle(ctx, nil, m), nil
 	}
 	conn := c.link.Conn()
 	if conn == nil {
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -40,6 +41,8 @@
 	confirmAt time.Time
 	yielding  bool // another entry is asked to take over
 	closed    bool
+	waiting   []*submission // to be written by the next transactions
+	open      map[string]*submission
 }
 
 func newHolder(cfg Config, w *writer) *holder {
@@ -50,6 +53,7 @@
 		engine:    job.New(cfg.Engine, time.Now()),
 		agents:    make(map[string]*agentLink),
 		links:     make(map[*frame.Conn]struct{}),
+		open:      make(map[string]*submission),
 		confirmAt: w.confirmed,
 	}
 	w.refused = func(since time.Duration) {
@@ -161,16 +165,13 @@
 	h.mu.Lock()
 	now := time.Now()
 	h.engine.SetGuarantees(h.cfg.Guarantees())
+	taken := h.takeSubmissions(now)
 	h.engine.Expire(now)
 	h.engine.Tick(now)
 	batch := h.engine.Flush()
 	h.mu.Unlock()
-	if batch != nil || now.Sub(h.writer.confirmed) >= renewInterval {
-		writes, err := rows(batch)
-		if err != nil {
-			return err
-		}
-		if err := h.write(ctx, writes); err != nil {
+	if batch != nil || len(taken) > 0 || now.Sub(h.writer.confirmed) >= renewInterval {
+		if err := h.writeRound(ctx, batch, taken); err != nil {
 			return err
 		}
 	}
@@ -189,19 +190,53 @@
 	return nil
 }
 
+// writeRound writes a batch and the jobs that were submitted. Jobs that cannot
+// be inserted are taken back, and the rest is written without them.
+func (h *holder) writeRound(ctx context.Context, batch *job.Batch, taken []*submission) error {
+	for {
+		c, err := rows(batch, taken)
+		if err != nil {
+			return err
+		}
+		err = h.write(ctx, c)
+		var exists *ExistsError
+		var turned *TurnedAwayError
+		switch {
+		case err == nil:
+			h.settle(taken, wire.SubmitStored)
+			return nil
+		case errors.As(err, &exists) && len(taken) > 0:
+			there := existing(taken, exists.Rows)
+			h.withdraw(batch, there, wire.SubmitKnown)
+			taken = slices.DeleteFunc(taken, func(s *submission) bool { return slices.Contains(there, s) })
+			if len(there) == 0 { // the store does not say which
+				h.withdraw(batch, taken, wire.SubmitUnknown)
+				taken = nil
+			}
+		case errors.As(err, &turned):
+			h.withdraw(batch, taken, wire.SubmitDeclined)
+			taken = nil
+		default:
+			h.settle(taken, wire.SubmitUnknown)
+			return err
+		}
+	}
+}
+
 // write writes a batch. While the store does not answer, another entry is asked
 // to take over. A write that is under way at a stop gets
 // some time to end, since its outcome must be known to release the lease.
-func (h *holder) write(ctx context.Context, writes []platform.Write) error {
+func (h *holder) write(ctx context.Context, c changes) error {
 	start := time.Now()
 	ctx, cancel := lingering(ctx, releaseLimit)
 	defer cancel()
 	t := time.AfterFunc(yieldAfter, h.yield)
 	defer t.Stop()
-	err := h.writer.write(ctx, writes)
-	h.cfg.Metrics.observeCommit(time.Since(start), len(writes), err)
+	err := h.writer.write(ctx, c)
+	n := len(c.writes) + len(c.inserts)
+	h.cfg.Metrics.observeCommit(time.Since(start), n, err)
 	if took := time.Since(start); took > commitTimeout {
-		h.cfg.Log.Warn().Dur("took", took).Int("rows", len(writes)).Err(err).Msg("slow_commit")
+		h.cfg.Log.Warn().Dur("took", took).Int("rows", n).Err(err).Msg("slow_commit")
 	}
 	return err
 }
@@ -218,25 +253,28 @@
 	}
 }
 
-// rows encodes a batch.
-func rows(b *job.Batch) ([]platform.Write, error) {
+// rows encodes a batch and the rows of submitted jobs.
+func rows(b *job.Batch, taken []*submission) (changes, error) {
+	var c changes
+	for _, s := range taken {
+		c.inserts = append(c.inserts, platform.Write{Key: TableJob + "/" + s.job.ID, Value: s.row})
+	}
 	if b == nil {
-		return nil, nil
+		return c, nil
 	}
-	var writes []platform.Write
-	for _, c := range b.Progress {
-		value, err := c.Progress.MarshalMsg(nil)
+	for _, p := range b.Progress {
+		value, err := p.Progress.MarshalMsg(nil)
 		if err != nil {
-			return nil, err
+			return changes{}, err
 		}
-		writes = append(writes, platform.Write{Key: TableProgress + "/" + c.ID, Value: value})
+		c.writes = append(c.writes, platform.Write{Key: TableProgress + "/" + p.ID, Value: value})
 	}
 	for _, id := range b.Expired {
 		for _, key := range []string{TableJob + "/" + id, TableProgress + "/" + id, TableJob + "/" + id + CancelSuffix} {
-			writes = append(writes, platform.Write{Key: key, Delete: true})
+			c.writes = append(c.writes, platform.Write{Key: key, Delete: true})
 		}
 	}
-	return writes, nil
+	return c, nil
 }
 
 // follow takes in what entries add to the job table.
@@ -283,7 +321,10 @@
 func (h *holder) close() {
 	h.mu.Lock()
 	h.closed = true
+	waiting := h.waiting
+	h.waiting = nil
 	h.mu.Unlock()
+	h.settle(waiting, wire.SubmitDeclined) // none of them was written
 	h.dropLinks()
 	h.wg.Wait()
 }
@@ -293,7 +334,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
 	defer cancel()
 	h.writer.lease.Released = true
-	if err := h.writer.write(ctx, nil); err != nil {
+	if err := h.writer.write(ctx, changes{}); err != nil {
 		h.cfg.Log.Warn().Err(err).Msg("lease_not_released")
 	}
 }
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -11,6 +11,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"bramleythread/io/platform"
@@ -45,6 +46,11 @@
 	// yieldRefused is the same, if the store turns the holder away.
 	yieldRefused = 250 * time.Millisecond
 
+	// declineAfter is the time after which a job that could not be written is
+	// given back to its entry, whose own way to the store may be open: more than
+	// one answer of a store that is slow a hundred times.
+	declineAfter = 500 * time.Millisecond
+
 	// ConfirmLimit is the age of the last written lease up to which the
 	// holder grants agents the right to renew their workers' leases.
 	ConfirmLimit = 3 * time.Second
@@ -98,29 +104,78 @@
 	confirmed time.Time // when the newest written transaction was sent
 }
 
+// changes are what a transaction of the holder writes beside its lease. Inserts
+// are written only if none of their rows is there yet.
+type changes struct {
+	writes  []platform.Write
+	inserts []platform.Write
+}
+
+// ExistsError tells of rows that were to be inserted and are there already. The
+// transaction has changed nothing.
+type ExistsError struct {
+	Rows []platform.Row
+}
+
+// Error describes the rows.
+func (e *ExistsError) Error() string {
+	return fmt.Sprintf("scheduler: %d rows to insert are there already", len(e.Rows))
+}
+
+// TurnedAwayError tells that the store has turned away all tries of a
+// transaction with inserts for some time. It has changed nothing and never will.
+type TurnedAwayError struct {
+	Since time.Duration
+	Cause error
+}
+
+// Error describes the refusals.
+func (e *TurnedAwayError) Error() string {
+	return fmt.Sprintf("scheduler: turned away for %v: %v", e.Since, e.Cause)
+}
+
+// Unwrap returns the newest refusal.
+func (e *TurnedAwayError) Unwrap() error { return e.Cause }
+
 // claim makes this process the holder, in place of the row that was read.
 func (w *writer) claim(ctx context.Context, old wire.SchedulerLease, revision uint64) error {
 	w.lease.Epoch = old.Epoch + 1
 	w.lease.Sequence = 0
 	w.lease.Released = false
 	w.revision = revision
-	return w.write(ctx, nil)
+	return w.write(ctx, changes{})
 }
 
-// write applies the writes in one transaction. It retries until it knows that
-// they are applied, or that this process is deposed.
-func (w *writer) write(ctx context.Context, writes []platform.Write) error {
+// txn returns a transaction with the next version of the lease.
+func (w *writer) txn(c changes) (platform.Txn, error) {
 	w.lease.Sequence++
 	value, err := w.lease.MarshalMsg(nil)
 	if err != nil {
-		return err
+		return platform.Txn{}, err
 	}
 	t := platform.Txn{
 		Conditions: []platform.Condition{{Key: leaseKey, Revision: w.revision}},
-		Writes:     append([]platform.Write{{Key: leaseKey, Value: value}}, writes...),
+		Writes:     []platform.Write{{Key: leaseKey, Value: value}},
+	}
+	t.Writes = append(t.Writes, c.writes...)
+	for _, row := range c.inserts {
+		t.Conditions = append(t.Conditions, platform.Condition{Key: row.Key})
+		t.Writes = append(t.Writes, row)
+	}
+	return t, nil
+}
+
+// write applies changes in one transaction. It retries until it knows that they
+// are applied, or that this process is deposed; a transaction with inserts also
+// ends with an ExistsError or a TurnedAwayError.
+func (w *writer) write(ctx context.Context, c changes) error {
+	t, err := w.txn(c)
+	if err != nil {
+		return err
 	}
 	pause := retryMin
 	start := time.Now()
+	maybe := false // a try may have been applied
 	for {
 		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
@@ -133,8 +188,14 @@
 		if done, err := w.resolve(err, sent); done {
 			return err
 		}
+		since := time.Since(start)
 		if w.refused != nil {
-			w.refused(time.Since(start))
+			w.refused(since)
+		}
+		var unavailable *platform.UnavailableError
+		maybe = maybe || !errors.As(err, &unavailable) || unavailable.MaybeApplied
+		if len(c.inserts) > 0 && !maybe && since >= declineAfter {
+			return &TurnedAwayError{Since: since, Cause: err}
 		}
 		if err := sleep(ctx, jitter(pause)); err != nil {
 			return err
@@ -144,13 +205,20 @@
 }
 
 // resolve reports whether the outcome of a transaction is known: it was
-// applied by an earlier try whose answer was lost, or this process is deposed.
+// applied by an earlier try whose answer was lost, rows to insert are there
+// already, or this process is deposed.
 func (w *writer) resolve(err error, sent time.Time) (bool, error) {
 	var conflict *platform.ConflictError
 	if !errors.As(err, &conflict) || len(conflict.Rows) == 0 {
 		return false, nil
 	}
-	row := conflict.Rows[0]
+	i := slices.IndexFunc(conflict.Rows, func(r platform.Row) bool { return r.Key == leaseKey })
+	if i < 0 || conflict.Rows[i].Revision == w.revision && w.revision != 0 {
+		return true, &ExistsError{Rows: slices.DeleteFunc(conflict.Rows, func(r platform.Row) bool {
+			return r.Key == leaseKey || r.Revision == 0
+		})}
+	}
+	row := conflict.Rows[i]
 	if row.Revision == 0 {
 		return true, &DeposedError{}
 	}
--- a/io/scheduler/lease_test.go
+++ b/io/scheduler/lease_test.go
@@ -15,8 +15,8 @@
 	return &writer{store: store, lease: wire.SchedulerLease{Holder: name}}
 }
 
-func row(value string) []platform.Write {
-	return []platform.Write{{Key: TableProgress + "/j", Value: []byte(value)}}
+func row(value string) changes {
+	return changes{writes: []platform.Write{{Key: TableProgress + "/j", Value: []byte(value)}}}
 }
 
 func TestDeposedWriterChangesNothing(t *testing.T) {
@@ -94,3 +94,87 @@
 	is.NoErr(err)
 	is.Equal(string(got.Value), "two")
 }
+
+func TestInserts(t *testing.T) {
+	ctx := context.Background()
+	both := row("one")
+	both.inserts = []platform.Write{{Key: TableJob + "/j", Value: []byte("new")}}
+	tests := map[string]struct {
+		prepare func(s *platform.Standin) platform.Store
+		check   func(is *is.I, err error)
+		written string // the job's row afterwards
+	}{
+		"a new row": {
+			check:   func(is *is.I, err error) { is.NoErr(err) },
+			written: "new",
+		},
+		"a new row whose answer is lost": {
+			prepare: func(s *platform.Standin) platform.Store {
+				s.SetFaults(platform.Faults{LostReplies: 1})
+				return s.Store()
+			},
+			check:   func(is *is.I, err error) { is.NoErr(err) },
+			written: "new",
+		},
+		"a row that is there": {
+			prepare: func(s *platform.Standin) platform.Store {
+				_, _ = s.Store().Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: TableJob + "/j", Value: []byte("old")}}})
+				return s.Store()
+			},
+			check: func(is *is.I, err error) {
+				var exists *ExistsError
+				is.True(errors.As(err, &exists))
+				is.Equal(len(exists.Rows), 1)
+				is.Equal(exists.Rows[0].Key, TableJob+"/j")
+			},
+			written: "old",
+		},
+		"a store that turns everything away": {
+			prepare: func(s *platform.Standin) platform.Store {
+				s.SetFaults(platform.Faults{Outage: true})
+				return s.Store()
+			},
+			check: func(is *is.I, err error) {
+				var turned *TurnedAwayError
+				is.True(errors.As(err, &turned))
+			},
+		},
+		"a store that may have applied it": {
+			prepare: func(s *platform.Standin) platform.Store {
+				store := s.Store()
+				tries := 0
+				commit := store.Commit
+				store.Commit = func(ctx context.Context, t platform.Txn) (uint64, error) {
+					if tries++; tries < 12 { // for longer than it would take to be given back
+						return 0, &platform.UnavailableError{Op: "commit", MaybeApplied: tries == 1}
+					}
+					return commit(ctx, t)
+				}
+				return store
+			},
+			check:   func(is *is.I, err error) { is.NoErr(err) },
+			written: "new",
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			standin := platform.NewStandin()
+			w := newWriter(standin.Store(), "first")
+			is.NoErr(w.claim(ctx, wire.SchedulerLease{}, 0))
+			if tt.prepare != nil {
+				w.store = tt.prepare(standin)
+			}
+			tt.check(is, w.write(ctx, both))
+			standin.SetFaults(platform.Faults{})
+			got, err := standin.Store().Get(ctx, TableJob+"/j")
+			is.NoErr(err)
+			is.Equal(string(got.Value), tt.written)
+			progress, err := standin.Store().Get(ctx, TableProgress+"/j")
+			is.NoErr(err)
+			is.Equal(string(progress.Value) == "one", tt.written == "new") // together or not at all
+			is.NoErr(w.write(ctx, row("two")))                             // the holder goes on
+		})
+	}
+}
--- a/io/scheduler/serve.go
+++ b/io/scheduler/serve.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"time"
 
 	"bramleythread/io/frame"
@@ -94,7 +95,10 @@
 }
 
 // handle takes in one message.
-func (h *holder) handle(c *frame.Conn, m wire.Message) wire.Message {
+func (h *holder) handle(ctx context.Context, c *frame.Conn, m wire.Message) wire.Message {
+	if v, ok := m.(*wire.SubmitJob); ok {
+		return h.submit(ctx, v.Job)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch v := m.(type) {
@@ -102,7 +106,7 @@
 		h.takeReport(c, v)
 	case *wire.JobQuery:
 		queue, state, known := h.engine.State(v.ID)
-		return &wire.JobAnswer{Known: known, Queue: queue, State: state}
+		return &wire.JobAnswer{Known: known && h.open[v.ID] == nil, Queue: queue, State: state}
 	case *wire.QueueQuery:
 		return &wire.QueueAnswer{Pending: h.engine.Pending(v.Queue)}
 	}
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -12,6 +12,7 @@
 //msgp:shim JobState as:string using:string/JobState
 //msgp:shim WorkerState as:string using:string/WorkerState
 //msgp:shim RunEnd as:string using:string/RunEnd
+//msgp:shim SubmitOutcome as:string using:string/SubmitOutcome
 //msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun
 
 // JobState is how far a job has come, as callers see it.
@@ -269,3 +270,25 @@
 	Epoch    uint64 `msg:"epoch"`
 	Sequence uint64 `msg:"sequence"`
 }
+
+// SubmitJob asks the scheduler to store a job. It then stands in the same
+// transaction as its first runs.
+type SubmitJob struct {
+	Job Job `msg:"job"`
+}
+
+// SubmitOutcome is what has become of a SubmitJob.
+type SubmitOutcome string
+
+// Outcomes of a SubmitJob.
+const (
+	SubmitStored   SubmitOutcome = "stored"
+	SubmitKnown    SubmitOutcome = "known"    // a job with this id was stored before
+	SubmitDeclined SubmitOutcome = "declined" // the scheduler has not written it and will not
+	SubmitUnknown  SubmitOutcome = "unknown"  // it may have been written, now or later
+)
+
+// SubmitAnswer answers a SubmitJob.
+type SubmitAnswer struct {
+	Outcome SubmitOutcome `msg:"outcome"`
+}
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -1625,6 +1625,154 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z SubmitAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "outcome"
+	o = append(o, 0x81, 0xa7, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65)
+	o = msgp.AppendString(o, string(z.Outcome))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SubmitAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "outcome":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Outcome")
+					return
+				}
+				z.Outcome = SubmitOutcome(zb0002)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z SubmitAnswer) Msgsize() (s int) {
+	s = 1 + 8 + msgp.StringPrefixSize + len(string(z.Outcome))
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *SubmitJob) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "job"
+	o = append(o, 0x81, 0xa3, 0x6a, 0x6f, 0x62)
+	o, err = z.Job.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Job")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SubmitJob) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "job":
+			bts, err = z.Job.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Job")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *SubmitJob) Msgsize() (s int) {
+	s = 1 + 4 + z.Job.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z SubmitOutcome) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendString(o, string(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SubmitOutcome) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 string
+		zb0001, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = SubmitOutcome(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z SubmitOutcome) Msgsize() (s int) {
+	s = msgp.StringPrefixSize + len(string(z))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskID) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/io/wire/kind.go
+++ b/io/wire/kind.go
@@ -41,6 +41,8 @@
 	KindQueueAnswer
 	KindYield
 	KindRenewed
+	KindSubmitJob
+	KindSubmitAnswer
 )
 
 // Message is a message of the schema.
@@ -92,6 +94,8 @@
 	KindQueueAnswer:  func() Message { return new(QueueAnswer) },
 	KindYield:        func() Message { return new(Yield) },
 	KindRenewed:      func() Message { return new(Renewed) },
+	KindSubmitJob:    func() Message { return new(SubmitJob) },
+	KindSubmitAnswer: func() Message { return new(SubmitAnswer) },
 }
 
 // Make returns an empty message of kind k.
@@ -192,3 +196,9 @@
 
 // Kind returns the kind of the message.
 func (*Renewed) Kind() Kind { return KindRenewed }
+
+// Kind returns the kind of the message.
+func (*SubmitJob) Kind() Kind { return KindSubmitJob }
+
+// Kind returns the kind of the message.
+func (*SubmitAnswer) Kind() Kind { return KindSubmitAnswer }
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -338,3 +339,56 @@
 	is.NoErr(err)
 	is.True(!known) // what was refused is not there
 }
+
+// TestSameJobThroughTwoEntries submits each job at both entries at once, while
+// the answers of the store get lost.
+func TestSameJobThroughTwoEntries(t *testing.T) {
+	tests := map[string]func(s *system){
+		"on a calm day":               func(*system) {},
+		"while answers are lost":      func(s *system) { s.store.SetFaults(platform.Faults{LostReplies: 6}) },
+		"while the scheduler is away": func(s *system) { s.links[s.holder()].cut.Store(true) },
+	}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSystem(t, 2, 2)
+			s.submit("first", "", tasks(1))
+			s.waitState("first", wire.JobCompleted)
+			disturb(s)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			var wg sync.WaitGroup
+			var failed atomic.Int64
+			for n := range 16 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					j := wire.Job{
+						ID: fmt.Sprintf("j-%d", n/2), Queue: "q", Service: "podcheck", Attempts: 3, Stretch: 3,
+						Accepted: time.Now(), Steps: []wire.JobStep{tasks(2)},
+					}
+					if err := s.jobs(n%2).Submit(ctx, j); err != nil {
+						failed.Add(1)
+					}
+				}()
+			}
+			wg.Wait()
+			if name != "while the scheduler is away" { // its own entry may be turned away too
+				is.Equal(failed.Load(), int64(0))
+			}
+			for _, l := range s.links {
+				l.cut.Store(false)
+			}
+			for n := range 8 {
+				id := fmt.Sprintf("j-%d", n)
+				row, err := s.store.Store().Get(ctx, "job/"+id)
+				is.NoErr(err)
+				if row.Revision != 0 {
+					s.waitState(id, wire.JobCompleted)
+				}
+			}
+			s.starts()
+		})
+	}
+}
