Ask for advice, pace work that fills, and keep the availability of lasting work

Cause: contracts in force on both sites name requests that the sites do not send: queues with advice (a start without a ticket is rejected for ever), work that fills beside work that serves, and lasting work of which only some tasks may be missing. Jobs of these kinds were stored and then run wrongly or never. Found beside it: the second occurrence of a timed job ranked behind everything as hopeless, since its age counted from the job's acceptance; and reservations waited for the end of lasting work. Change: the scheduler asks the operators' service for tickets, one question at a time, only for workers that are not known, and for those to be cleared if the work is urgent. No preemption takes more tasks of a step than its callers allow. Occurrences count from their due time; lasting work keeps its room for ever.

--- /dev/null
+++ b/core/job/advice_test.go
@@ -0,0 +1,119 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"bramleythread/io/wire"
+
+	"github.com/matryer/is"
+)
+
+// answerAll answers all questions: the given nodes may run everything.
+func (f *fleet) answerAll(allowed ...string) []Question {
+	questions := f.e.Questions(f.now)
+	for _, q := range questions {
+		tickets := make(map[string]string)
+		for _, name := range allowed {
+			tickets["i-"+name] = "ticket-" + name
+		}
+		f.e.Advised(q, tickets, true, f.now, f.now)
+	}
+	return questions
+}
+
+func TestAdvice(t *testing.T) {
+	advised := func(f *fleet, priority int, s wire.JobStep) {
+		j := f.job("j", priority, s)
+		j.Advice = 4 * time.Second
+		f.e.Submit(j, f.now)
+		f.tick()
+	}
+	tests := map[string]func(is *is.I, f *fleet){
+		"nothing runs without a ticket": func(is *is.I, f *fleet) {
+			advised(f, 1, step(1, 1))
+			is.Equal(len(f.runs("j")), 0)
+		},
+		"allowed workers only": func(is *is.I, f *fleet) {
+			advised(f, 1, step(2, 1))
+			is.Equal(len(f.answerAll(node(1))), 1)
+			f.tick()
+			is.Equal(len(f.runs("j")), 2)
+			for _, r := range f.runs("j") {
+				is.Equal(r.worker.Node, node(1))
+			}
+			o, _ := f.e.Orders(node(1))
+			is.Equal(o.Starts[0].Ticket, "ticket-"+node(1))
+		},
+		"a question is asked once": func(is *is.I, f *fleet) {
+			advised(f, 1, step(1, 1))
+			is.Equal(len(f.e.Questions(f.now)), 1)
+			is.Equal(len(f.e.Questions(f.now)), 0)
+		},
+		"what may not run it is not asked for again": func(is *is.I, f *fleet) {
+			advised(f, 1, step(1, 1))
+			f.answerAll()
+			f.now = f.now.Add(time.Second)
+			f.workers(3)
+			is.Equal(len(f.answerAll()), 0)
+		},
+		"a question without an answer is asked again": func(is *is.I, f *fleet) {
+			advised(f, 1, step(1, 1))
+			q := f.e.Questions(f.now)
+			f.e.Advised(q[0], nil, false, f.now, f.now)
+			f.now = f.now.Add(time.Second)
+			f.workers(3)
+			is.Equal(len(f.e.Questions(f.now)), 1)
+		},
+		"an old ticket is renewed": func(is *is.I, f *fleet) {
+			advised(f, 1, step(2, 8)) // one worker is allowed and holds one task
+			f.answerAll(node(0))
+			f.tick()
+			is.Equal(len(f.runs("j")), 1)
+			f.now = f.now.Add(5 * time.Second)
+			f.workers(3)
+			f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: wire.EndDone, {Job: "j", Index: 1}: wire.EndDone})
+			f.tick()
+			is.Equal(len(f.runs("j")), 0) // the ticket is too old
+			is.Equal(len(f.answerAll(node(0))), 1)
+			f.tick()
+			is.Equal(len(f.runs("j")), 1)
+		},
+		"a refused ticket is forgotten": func(is *is.I, f *fleet) {
+			advised(f, 1, step(1, 1))
+			f.answerAll(node(0))
+			f.tick()
+			r := f.runs("j")[0]
+			f.report(node(0), func(rep *wire.WorkerReport) {
+				rep.Running = nil
+				rep.Refused = []wire.RefusedRun{{Task: r.task.id(), Run: r.number, Reason: "ticket"}}
+			}, nil)
+			f.now = f.now.Add(time.Second)
+			f.workers(3)
+			is.Equal(len(f.answerAll(node(0))), 1)
+		},
+		"urgent work asks for workers that it would have to clear": func(is *is.I, f *fleet) {
+			f.e.SetGuarantees(map[string]int{"c": 8})
+			f.e.Submit(f.job("full", 1, step(3, 8)), f.now)
+			f.tick()
+			advised(f, 0, step(1, 8))
+			is.Equal(len(f.answerAll(node(2))), 1)
+			f.tick()
+			stopped := 0
+			for _, r := range f.runs("full") {
+				if r.phase == stopping {
+					stopped++
+					is.Equal(r.worker.Node, node(2))
+				}
+			}
+			is.Equal(stopped, 1)
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.workers(3)
+			tt(is.New(t), f)
+		})
+	}
+}
--- a/core/job/catalog.go
+++ b/core/job/catalog.go
@@ -27,6 +27,7 @@
 	Attempts  int  // failed runs of a task that end its job
 	Stretch   float64
 	Objective time.Duration
+	Advice    time.Duration // for which a ticket is valid; 0 if its steps need none
 }
 
 // Route returns the queue that a host and path select, or nil. The longest
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -44,6 +44,7 @@
 	why      string    // why it waits
 	held     map[*Worker]int
 	holdEnd  time.Time
+	advice   advice
 }
 
 // waiting returns the tasks that are to be placed. A gang is placed whole.
--- a/core/job/learn.go
+++ b/core/job/learn.go
@@ -45,6 +45,17 @@
 	return defaultRunTime
 }
 
+// forever stands in for the run time of work that ends only when it is cancelled.
+const forever = 365 * 24 * time.Hour
+
+// occupies returns how long a task of the stage is expected to keep its room.
+func (e *Engine) occupies(s *stage) time.Duration {
+	if s.step.LongRunning {
+		return forever
+	}
+	return e.runTime(s)
+}
+
 // Progress that is enough to tell how long a run still takes.
 const (
 	leastGain = 3 // percent
@@ -54,8 +65,8 @@
 // remaining returns how long a run is expected to go on. Its own progress tells
 // more than the times of others.
 func (e *Engine) remaining(r *run, now time.Time) time.Duration {
-	expected := e.runTime(r.task.stage)
-	if r.began.IsZero() {
+	expected := e.occupies(r.task.stage)
+	if r.task.stage.step.LongRunning || r.began.IsZero() {
 		return expected
 	}
 	gain, took := r.percent-r.first, r.progress.Sub(r.began)
--- a/core/job/orders.go
+++ b/core/job/orders.go
@@ -26,11 +26,14 @@
 	}
 	o := wire.WorkerOrders{Instance: w.Instance, Born: w.Born, Acked: w.acked}
 	for id, r := range w.runs {
+		if step := r.task.stage.step; (step.Target > 0 || step.Fills) && r.phase != stopping {
+			o.Shared = append(o.Shared, wire.SharedTask{Task: id, Run: r.number, Target: step.Target, Fills: step.Fills})
+		}
 		switch {
 		case r.phase == stopping && r.durable():
 			o.Stops = append(o.Stops, wire.TaskRun{Task: id, Run: r.number})
 		case r.phase == ordered && r.durable() && w.State == wire.WorkerReady:
-			o.Starts = append(o.Starts, wire.StartTask{Task: id, Run: r.number, Spec: r.task.stage.job.Spec, Checkpoint: r.task.checkpoint})
+			o.Starts = append(o.Starts, wire.StartTask{Task: id, Run: r.number, Spec: r.task.stage.job.Spec, Checkpoint: r.task.checkpoint, Ticket: r.task.stage.ticket(w)})
 		}
 	}
 	for stray := range w.strays {
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -41,6 +41,10 @@
 		}
 	}
 	best := e.cheapest(s, len(tasks), stoppable, now)
+	if best != nil && !mayMiss(best.victims) {
+		replaceable := stoppable
+		best = e.cheapest(s, len(tasks), func(r *run) bool { return r.task.stage.step.MayMiss == 0 && replaceable(r) }, now)
+	}
 	if best == nil || reason == "last_minute" && best.lost > e.ownWork(s, len(tasks)) {
 		return
 	}
@@ -68,14 +72,24 @@
 func (e *Engine) objective(j *Job) time.Duration {
 	work := time.Duration(0)
 	for _, s := range j.order {
-		work = max(work, e.runTime(s))
+		if !s.step.LongRunning {
+			work = max(work, e.runTime(s))
+		}
 	}
 	return time.Duration(j.Stretch*float64(work)*float64(len(j.Steps))) + j.Objective
 }
 
 // worthless returns when the stage's job is worth nothing any more.
 func (e *Engine) worthless(s *stage) time.Time {
-	return s.job.Accepted.Add(lateLimit * e.objective(s.job))
+	return s.due().Add(lateLimit * e.objective(s.job))
+}
+
+// due returns when the stage's occurrence was due, on the steady clock.
+func (s *stage) due() time.Time {
+	if first := s.job.stages[stageKey{s.key.occurrence, 0}]; s.job.Repeat > 0 && first != nil {
+		return first.ready
+	}
+	return s.job.Accepted
 }
 
 // guarantee reports whether all urgent work of the job's customer that has not
@@ -93,6 +107,32 @@
 	return need <= e.guaranteed[j.Customer]
 }
 
+// atWork reports whether a run of long-running work is available to its users.
+func (r *run) atWork() bool { return r.phase == started && r.percent >= allPercent }
+
+// mayMiss reports whether all of the victims may be stopped together: no step
+// loses more of its available tasks to us than its callers allow.
+func mayMiss(victims []*run) bool {
+	stopped := make(map[*stage]int)
+	for _, r := range victims {
+		if r.task.stage.step.MayMiss > 0 && r.atWork() {
+			stopped[r.task.stage]++
+		}
+	}
+	for s, n := range stopped {
+		missing := 0
+		for _, t := range s.tasks {
+			if t.run == nil || !t.run.atWork() {
+				missing++
+			}
+		}
+		if missing+n > s.step.MayMiss {
+			return false
+		}
+	}
+	return true
+}
+
 func (e *Engine) preempt(r *run, by *stage, reason string, now time.Time) {
 	e.decide(Decision{What: "preempt", Job: r.task.stage.job.ID, Task: r.task.id(), Run: r.number, Worker: r.worker.Node, Reason: reason + ":" + by.job.ID, Age: now.Sub(r.placed)})
 	e.stopWhole(r, "preempted")
@@ -155,7 +195,7 @@
 			free = add(free, demand(r.task.stage.step)) // gone soon
 			continue
 		}
-		if r.task.stage.job.Priority > s.job.Priority && stoppable(r) {
+		if r.task.stage.job.Priority > s.job.Priority && stoppable(r) && mayMiss([]*run{r}) {
 			victims = append(victims, victim{r: r, lost: e.lost(r, now)})
 		}
 	}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -30,6 +30,9 @@
 	for _, refused := range r.Refused {
 		if run := w.runs[refused.Task]; run != nil && run.number == refused.Run {
 			e.end(run, wire.EndRefused, "", refused.Reason, now)
+			if run.task.stage.job.Advice > 0 {
+				run.task.stage.forget(w)
+			}
 			w.health.refused(now)
 		}
 	}
--- /dev/null
+++ b/core/job/serving_test.go
@@ -0,0 +1,132 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"bramleythread/io/wire"
+
+	"github.com/matryer/is"
+)
+
+// serving returns a step of long-running work of which some tasks may be
+// unavailable by our own orders.
+func serving(count, accelerators, mayMiss int) wire.JobStep {
+	s := step(count, accelerators)
+	s.LongRunning, s.MayMiss = true, mayMiss
+	return s
+}
+
+// atWork lets all runs of a worker show that they are available.
+func atWork(r *wire.WorkerReport) {
+	for i := range r.Running {
+		r.Running[i].Percent = allPercent
+	}
+}
+
+func TestAvailabilityBoundsPreemption(t *testing.T) {
+	tests := map[string]struct {
+		mayMiss int
+		missing int // tasks that are not at work
+		urgent  int // tasks of a whole worker each
+		stopped int
+	}{
+		"as many as may be missing":      {mayMiss: 2, urgent: 2, stopped: 2},
+		"more than may be missing":       {mayMiss: 1, urgent: 2, stopped: 0},
+		"one is missing already":         {mayMiss: 1, missing: 1, urgent: 2, stopped: 0},
+		"what does not work may be used": {mayMiss: 1, missing: 1, urgent: 1, stopped: 1},
+		"no promise":                     {mayMiss: 0, urgent: 3, stopped: 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.workers(3)
+			f.e.SetGuarantees(map[string]int{"c": 24})
+			f.e.Submit(f.job("lasting", 1, serving(3, 8, tt.mayMiss)), f.now)
+			f.tick()
+			for i := range 3 {
+				if i < tt.missing {
+					f.report(node(i), nil, nil)
+				} else {
+					f.report(node(i), atWork, nil)
+				}
+			}
+			f.e.Submit(f.job("urgent", 0, gang(tt.urgent, 8)), f.now)
+			f.tick()
+			stopped := 0
+			for _, r := range f.runs("lasting") {
+				if r.phase == stopping {
+					stopped++
+					if tt.missing > 0 {
+						is.True(r.percent < allPercent)
+					}
+				}
+			}
+			is.Equal(stopped, tt.stopped)
+		})
+	}
+}
+
+func TestLongRunningWorkIsRestartedHoweverItEnds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(3)
+	f.e.Submit(f.job("j", 1, serving(1, 8, 1)), f.now)
+	for i, how := range []wire.RunEnd{wire.EndFailed, wire.EndDone, wire.EndFailed, wire.EndLapsed, wire.EndFailed} {
+		f.now = f.now.Add(40 * time.Second) // ejected workers are back
+		f.workers(3)
+		f.tick()
+		is.Equal(len(f.runs("j")), 1)
+		is.Equal(f.runs("j")[0].number, i+1)
+		for n := range 3 {
+			f.report(node(n), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: how})
+		}
+	}
+	f.tick()
+	is.Equal(f.state("j"), wire.JobRunning)
+}
+
+// TestOccurrencesRankByTheirDueTime lets a job's second occurrence come due long
+// after the job was accepted. It is not too late then.
+func TestOccurrencesRankByTheirDueTime(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(1)
+	timed := f.job("timed", 1, step(1, 8))
+	timed.Repeat, timed.FirstRun, timed.Interval = 2, f.now.Add(5*time.Minute), time.Minute
+	f.e.Submit(timed, f.now)
+	f.now = f.now.Add(5*time.Minute - time.Second)
+	f.workers(1)
+	f.e.Submit(f.job("busy", 1, step(1, 8)), f.now)
+	f.tick()
+	is.Equal(len(f.runs("timed")), 0) // not before its time
+	is.Equal(len(f.runs("busy")), 1)
+	f.now = f.now.Add(time.Second)
+	f.tick() // the occurrence is due; then another job comes
+	f.e.Submit(f.job("later", 1, step(1, 8)), f.now.Add(time.Millisecond))
+	f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "busy"}: wire.EndDone})
+	f.tick()
+	is.Equal(len(f.runs("timed")), 1)
+	is.Equal(len(f.runs("later")), 0)
+}
+
+func TestLongRunningWorkKeepsItsRoom(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.workers(2)
+	f.e.Submit(f.job("lasting", 1, serving(1, 8, 1)), f.now)
+	f.tick()
+	f.report(node(0), atWork, nil)
+	f.now = f.now.Add(3 * time.Second)
+	f.workers(2)
+	f.e.Submit(f.job("short", 1, step(1, 8)), f.now)
+	f.tick()
+	f.workers(2)
+	f.e.Submit(f.job("gang", 1, gang(1, 8)), f.now)
+	f.tick()
+	is.Equal(len(f.e.reserved), 1)
+	for _, r := range f.e.reserved { // waits for the short one, not for the lasting one
+		is.Equal(r.use[f.runs("short")[0].worker], 1)
+	}
+}
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -79,10 +79,10 @@
 	return queue
 }
 
-// rank orders stages of one priority by the acceptance of their jobs. What can
-// no longer be worth anything goes last.
+// rank orders stages of one priority by the acceptance of their jobs, or the due
+// time of their occurrences. What can no longer be worth anything goes last.
 func (e *Engine) rank(s *stage, now time.Time) float64 {
-	rank := s.job.Accepted.Sub(e.since).Seconds()
+	rank := s.due().Sub(e.since).Seconds()
 	if !s.step.LongRunning && now.Add(e.runTime(s)).After(e.worthless(s)) {
 		return hopeless + rank
 	}
@@ -176,6 +176,11 @@
 
 // eligible reports whether the worker may run tasks of the stage if it has room.
 func (e *Engine) eligible(w *Worker, s *stage, now time.Time) bool {
+	return e.suitable(w, s, now) && s.advised(w, now)
+}
+
+// suitable is eligible without regard to advice.
+func (e *Engine) suitable(w *Worker, s *stage, now time.Time) bool {
 	return w.known && w.State == wire.WorkerReady && now.Sub(w.heard) <= reportLimit &&
 		w.Service == s.job.Service && w.health.usable(now) &&
 		(s.step.Label == "" || slices.Contains(w.Labels, s.step.Label))
@@ -208,7 +213,7 @@
 		}
 	}
 	for h, r := range e.reserved {
-		if n := r.use[w]; n > 0 && h != s && now.Add(e.runTime(s)).After(r.at) {
+		if n := r.use[w]; n > 0 && h != s && now.Add(e.occupies(s)).After(r.at) {
 			free = sub(free, times(demand(h.step), n))
 		}
 	}
--- a/io/caller/job_http.go
+++ b/io/caller/job_http.go
@@ -136,7 +136,7 @@
 func (req *jobRequest) job(in Admission) wire.Job {
 	j := wire.Job{
 		ID: in.Rest, Queue: in.Queue.Name, Customer: in.Customer, Service: in.Queue.Service, Spec: req.Spec,
-		Priority: in.Queue.Priority, Attempts: in.Queue.Attempts, Stretch: in.Queue.Stretch, Objective: in.Queue.Objective,
+		Priority: in.Queue.Priority, Attempts: in.Queue.Attempts, Stretch: in.Queue.Stretch, Objective: in.Queue.Objective, Advice: in.Queue.Advice,
 		Accepted: time.Now(), FirstRun: req.FirstRun, Interval: time.Duration(req.IntervalMs) * time.Millisecond, Repeat: req.Repeat,
 	}
 	for _, s := range req.Steps {
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -153,8 +154,13 @@
 		Store: store, Health: health, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration,
 	})
 	p.door = caller.NewDoor(p.catalog, health, s.RevocationLimit)
+	var advise func(ctx context.Context, q job.Question) (map[string]string, error)
+	if s.Advice.IsValid() {
+		advise = adapter.NewAdvice(s.Advice)
+	}
 	p.candidate = scheduler.Start(scheduler.Config{
-		Node: s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
+		Advise: advise,
+		Node:   s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
 		Guarantees: p.catalog.Guarantees,
 		Engine: job.Config{
 			LeaseLimit: scheduler.LeaseLimit,
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -43,6 +43,7 @@
 	closed    bool
 	waiting   []*submission // to be written by the next transactions
 	open      map[string]*submission
+	advising  sync.Mutex // the service takes one question of a machine at a time
 }
 
 func newHolder(cfg Config, w *writer) *holder {
@@ -187,6 +188,7 @@
 	for _, node := range h.engine.TakeChanged() {
 		h.sendOrders(node)
 	}
+	h.askAdvice(ctx, now)
 	return nil
 }
 
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -13,7 +13,7 @@
 //msgp:shim WorkerState as:string using:string/WorkerState
 //msgp:shim RunEnd as:string using:string/RunEnd
 //msgp:shim SubmitOutcome as:string using:string/SubmitOutcome
-//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun
+//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun SharedTask
 
 // JobState is how far a job has come, as callers see it.
 type JobState string
@@ -101,6 +101,7 @@
 	FirstRun  time.Time     `msg:"first_run"` // of occurrence 0, if Repeat is not 0
 	Interval  time.Duration `msg:"interval,omitempty"`
 	Repeat    int           `msg:"repeat,omitempty"` // number of occurrences; 0 is one, at once
+	Advice    time.Duration `msg:"advice,omitempty"` // for which a ticket to a worker is valid; 0 if none is needed
 	Steps     []JobStep     `msg:"steps"`
 }
 
@@ -175,12 +176,15 @@
 	Remaining time.Duration `msg:"remaining"` // least time until a draining worker leaves
 }
 
-// RunningTask is a run that is present on a worker.
+// RunningTask is a run that is present on a worker. Load is rough: the tail
+// latency of a task that serves in milliseconds, else thousandths of a core in
+// use.
 type RunningTask struct {
 	Task       TaskID
 	Run        int
 	Checkpoint string
 	Percent    int
+	Load       int
 }
 
 // EndedRun is a run that has ended on a worker. Number grows with each end in a
@@ -219,6 +223,16 @@
 	Run        int    `msg:"run"`
 	Spec       string `msg:"spec"`
 	Checkpoint string `msg:"checkpoint,omitempty"`
+	Ticket     string `msg:"ticket,omitempty"`
+}
+
+// SharedTask is a run whose pace matters to others on its worker: it serves
+// within a latency target, or it fills the time that others leave.
+type SharedTask struct {
+	Task   TaskID
+	Run    int
+	Target time.Duration // 0 if it does not serve
+	Fills  bool
 }
 
 // WorkerOrders are the scheduler's standing orders to an agent. They replace
@@ -233,6 +247,7 @@
 	Acked    int           `msg:"acked"` // ends up to this number are durable
 	Starts   []StartTask   `msg:"starts"`
 	Stops    []TaskRun     `msg:"stops"`
+	Shared   []SharedTask  `msg:"shared,omitempty"`
 }
 
 // JobQuery asks the scheduler for the state of a job.
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -84,8 +84,8 @@
 func (z *Job) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(14)
-	var zb0001Mask uint16 /* 14 bits */
+	zb0001Len := uint32(15)
+	var zb0001Mask uint16 /* 15 bits */
 	_ = zb0001Mask
 	if z.Interval == 0 {
 		zb0001Len--
@@ -95,6 +95,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
+	if z.Advice == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -143,6 +147,11 @@
 			o = append(o, 0xa6, 0x72, 0x65, 0x70, 0x65, 0x61, 0x74)
 			o = msgp.AppendInt(o, z.Repeat)
 		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "advice"
+			o = append(o, 0xa6, 0x61, 0x64, 0x76, 0x69, 0x63, 0x65)
+			o = msgp.AppendDuration(o, z.Advice)
+		}
 		// string "steps"
 		o = append(o, 0xa5, 0x73, 0x74, 0x65, 0x70, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Steps)))
@@ -257,6 +266,12 @@
 				err = msgp.WrapError(err, "Repeat")
 				return
 			}
+		case "advice":
+			z.Advice, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Advice")
+				return
+			}
 		case "steps":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -294,7 +309,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Job) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.StringPrefixSize + len(z.Queue) + 9 + msgp.StringPrefixSize + len(z.Customer) + 8 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.StringPrefixSize + len(z.Spec) + 9 + msgp.IntSize + 9 + msgp.IntSize + 8 + msgp.Float64Size + 10 + msgp.DurationSize + 9 + msgp.TimeSize + 10 + msgp.TimeSize + 9 + msgp.DurationSize + 7 + msgp.IntSize + 6 + msgp.ArrayHeaderSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID) + 6 + msgp.StringPrefixSize + len(z.Queue) + 9 + msgp.StringPrefixSize + len(z.Customer) + 8 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.StringPrefixSize + len(z.Spec) + 9 + msgp.IntSize + 9 + msgp.IntSize + 8 + msgp.Float64Size + 10 + msgp.DurationSize + 9 + msgp.TimeSize + 10 + msgp.TimeSize + 9 + msgp.DurationSize + 7 + msgp.IntSize + 7 + msgp.DurationSize + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Steps {
 		s += z.Steps[za0001].Msgsize()
 	}
@@ -1252,8 +1267,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunningTask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o, err = z.Task.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Task")
@@ -1262,6 +1277,7 @@
 	o = msgp.AppendInt(o, z.Run)
 	o = msgp.AppendString(o, z.Checkpoint)
 	o = msgp.AppendInt(o, z.Percent)
+	o = msgp.AppendInt(o, z.Load)
 	return
 }
 
@@ -1273,8 +1289,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	bts, err = z.Task.UnmarshalMsg(bts)
@@ -1297,13 +1313,18 @@
 		err = msgp.WrapError(err, "Percent")
 		return
 	}
+	z.Load, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Load")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunningTask) Msgsize() (s int) {
-	s = 1 + z.Task.Msgsize() + msgp.IntSize + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.IntSize
+	s = 1 + z.Task.Msgsize() + msgp.IntSize + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.IntSize + msgp.IntSize
 	return
 }
 
@@ -1442,6 +1463,64 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *SharedTask) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o, err = z.Task.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Task")
+		return
+	}
+	o = msgp.AppendInt(o, z.Run)
+	o = msgp.AppendDuration(o, z.Target)
+	o = msgp.AppendBool(o, z.Fills)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SharedTask) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	bts, err = z.Task.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Task")
+		return
+	}
+	z.Run, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	z.Target, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Fills, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Fills")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *SharedTask) Msgsize() (s int) {
+	s = 1 + z.Task.Msgsize() + msgp.IntSize + msgp.DurationSize + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *StageProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1527,13 +1606,17 @@
 func (z *StartTask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Checkpoint == "" {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Ticket == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1557,6 +1640,11 @@
 			o = append(o, 0xaa, 0x63, 0x68, 0x65, 0x63, 0x6b, 0x70, 0x6f, 0x69, 0x6e, 0x74)
 			o = msgp.AppendString(o, z.Checkpoint)
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "ticket"
+			o = append(o, 0xa6, 0x74, 0x69, 0x63, 0x6b, 0x65, 0x74)
+			o = msgp.AppendString(o, z.Ticket)
+		}
 	}
 	return
 }
@@ -1607,6 +1695,12 @@
 				err = msgp.WrapError(err, "Checkpoint")
 				return
 			}
+		case "ticket":
+			z.Ticket, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ticket")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1621,7 +1715,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StartTask) Msgsize() (s int) {
-	s = 1 + 5 + z.Task.Msgsize() + 4 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Spec) + 11 + msgp.StringPrefixSize + len(z.Checkpoint)
+	s = 1 + 5 + z.Task.Msgsize() + 4 + msgp.IntSize + 5 + msgp.StringPrefixSize + len(z.Spec) + 11 + msgp.StringPrefixSize + len(z.Checkpoint) + 7 + msgp.StringPrefixSize + len(z.Ticket)
 	return
 }
 
@@ -2116,50 +2210,75 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerOrders) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "sequence"
-	o = append(o, 0x89, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "epoch"
-	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
-	o = msgp.AppendUint64(o, z.Epoch)
-	// string "token"
-	o = append(o, 0xa5, 0x74, 0x6f, 0x6b, 0x65, 0x6e)
-	o = msgp.AppendUint64(o, z.Token)
-	// string "granted"
-	o = append(o, 0xa7, 0x67, 0x72, 0x61, 0x6e, 0x74, 0x65, 0x64)
-	o = msgp.AppendDuration(o, z.Granted)
-	// string "instance"
-	o = append(o, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Instance)
-	// string "born"
-	o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
-	o = msgp.AppendInt64(o, z.Born)
-	// string "acked"
-	o = append(o, 0xa5, 0x61, 0x63, 0x6b, 0x65, 0x64)
-	o = msgp.AppendInt(o, z.Acked)
-	// string "starts"
-	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Starts)))
-	for za0001 := range z.Starts {
-		o, err = z.Starts[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Starts", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
+	_ = zb0001Mask
+	if z.Shared == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
 	}
-	// string "stops"
-	o = append(o, 0xa5, 0x73, 0x74, 0x6f, 0x70, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Stops)))
-	for za0002 := range z.Stops {
-		// array header, size 2
-		o = append(o, 0x92)
-		o, err = z.Stops[za0002].Task.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Stops", za0002, "Task")
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "sequence"
+		o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, z.Sequence)
+		// string "epoch"
+		o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendUint64(o, z.Epoch)
+		// string "token"
+		o = append(o, 0xa5, 0x74, 0x6f, 0x6b, 0x65, 0x6e)
+		o = msgp.AppendUint64(o, z.Token)
+		// string "granted"
+		o = append(o, 0xa7, 0x67, 0x72, 0x61, 0x6e, 0x74, 0x65, 0x64)
+		o = msgp.AppendDuration(o, z.Granted)
+		// string "instance"
+		o = append(o, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Instance)
+		// string "born"
+		o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
+		o = msgp.AppendInt64(o, z.Born)
+		// string "acked"
+		o = append(o, 0xa5, 0x61, 0x63, 0x6b, 0x65, 0x64)
+		o = msgp.AppendInt(o, z.Acked)
+		// string "starts"
+		o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Starts)))
+		for za0001 := range z.Starts {
+			o, err = z.Starts[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Starts", za0001)
+				return
+			}
+		}
+		// string "stops"
+		o = append(o, 0xa5, 0x73, 0x74, 0x6f, 0x70, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Stops)))
+		for za0002 := range z.Stops {
+			// array header, size 2
+			o = append(o, 0x92)
+			o, err = z.Stops[za0002].Task.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Stops", za0002, "Task")
+				return
+			}
+			o = msgp.AppendInt(o, z.Stops[za0002].Run)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "shared"
+			o = append(o, 0xa6, 0x73, 0x68, 0x61, 0x72, 0x65, 0x64)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Shared)))
+			for za0003 := range z.Shared {
+				o, err = z.Shared[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Shared", za0003)
+					return
+				}
+			}
 		}
-		o = msgp.AppendInt(o, z.Stops[za0002].Run)
 	}
 	return
 }
@@ -2289,6 +2408,29 @@
 					return
 				}
 			}
+		case "shared":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Shared")
+				return
+			}
+			if zb0005 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Shared) >= int(zb0005) {
+				z.Shared = (z.Shared)[:zb0005]
+			} else {
+				z.Shared = make([]SharedTask, zb0005)
+			}
+			for za0003 := range z.Shared {
+				bts, err = z.Shared[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Shared", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2311,6 +2453,10 @@
 	for za0002 := range z.Stops {
 		s += 1 + z.Stops[za0002].Task.Msgsize() + msgp.IntSize
 	}
+	s += 7 + msgp.ArrayHeaderSize
+	for za0003 := range z.Shared {
+		s += z.Shared[za0003].Msgsize()
+	}
 	return
 }
 
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -65,6 +65,7 @@
 	ended     []wire.EndedRun
 	refused   map[wire.TaskRun]string
 	pending   map[wire.TaskRun]*pending
+	pacer     pacer
 }
 
 // pending is an order that is being carried out.
@@ -86,6 +87,7 @@
 		startedAt: make(map[wire.TaskRun]time.Time),
 		refused:   make(map[wire.TaskRun]string),
 		pending:   make(map[wire.TaskRun]*pending),
+		pacer:     pacer{set: make(map[wire.TaskRun]paced)},
 	}
 	a.link = scheduler.NewLink(scheduler.LinkConfig{
 		Local:  wire.Hello{Role: wire.RoleAgent, Name: cfg.Node},
@@ -164,6 +166,7 @@
 	clear(a.startedAt)
 	clear(a.refused)
 	clear(a.pending)
+	clear(a.pacer.set)
 	a.cfg.Log.Info().Str("instance", info.Instance).Int64("born", info.Born).Str("service", info.Service).Str("rack", info.Rack).Msg("worker_lifetime")
 	a.look()
 }
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -47,6 +47,9 @@
 		Instance: a.info.Instance, Token: a.token(), Until: a.lease(now),
 		Acked: a.orders.Acked, Wait: holdWait,
 	}
+	if a.sharing() {
+		o.Wait = paceLook
+	}
 	unacked := len(a.ended) > 0 && a.ended[len(a.ended)-1].Number > o.Acked
 	if !a.seen || a.unsettled() || a.unanswered {
 		o.Wait = 0
@@ -181,6 +184,7 @@
 	a.seen = a.seen || a.ordered && o.Token == a.token()
 	a.settle(sent)
 	a.obey()
+	a.paceRuns(sent)
 	if changed {
 		a.report()
 	}
--- a/io/worker/standin.go
+++ b/io/worker/standin.go
@@ -49,6 +49,8 @@
 	until   time.Time // when its work is done
 	began   time.Time
 	stopped time.Time // when its stop takes effect
+	spec    string
+	percent int // of full speed
 }
 
 // NewStandin returns a worker that runs nothing.
@@ -88,9 +90,48 @@
 
 // Worker returns the worker's functions.
 func (s *Standin) Worker() Worker {
-	return Worker{Start: s.startRun, Stop: s.stopRun, Hold: s.hold}
+	return Worker{Start: s.startRun, Stop: s.stopRun, Hold: s.hold, Pace: s.paceRun}
 }
 
+// paceRun sets the pace of a run.
+func (s *Standin) paceRun(_ context.Context, o PaceOrder) error {
+	return s.order(func() error {
+		if err := s.fence(o.Instance, o.Token); err != nil {
+			return err
+		}
+		if r := s.runs[o.Task]; r != nil && r.number == o.Run {
+			r.percent = o.Percent
+		}
+		return nil
+	})
+}
+
+// Paces returns the pace of each run, in percent.
+func (s *Standin) Paces() map[wire.TaskID]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	paces := make(map[wire.TaskID]int, len(s.runs))
+	for id, r := range s.runs {
+		paces[id] = r.percent
+	}
+	return paces
+}
+
+// disturbed returns the latency of a serving task whose spec starts with
+// "serve": it grows with the pace of the runs beside it whose spec is "fill".
+func (s *Standin) disturbed() time.Duration {
+	latency := servingLatency
+	for _, r := range s.runs {
+		if r.spec == "fill" {
+			latency += servingLatency * 2 * time.Duration(r.percent) / 100
+		}
+	}
+	return latency
+}
+
+// servingLatency is the tail latency of a serving task that nobody disturbs.
+const servingLatency = 20 * time.Millisecond
+
 // order carries out an order now, or late and without an answer.
 func (s *Standin) order(f func() error) error {
 	s.mu.Lock()
@@ -131,7 +172,10 @@
 		if err != nil {
 			took = s.cfg.RunTime
 		}
-		s.runs[o.Task] = &standinRun{number: o.Run, began: now, until: now.Add(took)}
+		if o.Spec == "serve" || o.Spec == "fill" { // until it is stopped
+			took = time.Hour
+		}
+		s.runs[o.Task] = &standinRun{number: o.Run, began: now, until: now.Add(took), spec: o.Spec, percent: 100}
 		s.starts[wire.TaskRun{Task: o.Task, Run: o.Run}]++
 		time.AfterFunc(took, s.wake)
 		return nil
@@ -254,6 +298,9 @@
 		if whole := r.until.Sub(r.began); whole > 0 && !s.faults.Hang {
 			t.Percent = int(min(99, 100*now.Sub(r.began)/whole))
 		}
+		if r.spec == "serve" {
+			t.Percent, t.Load = 100, int(s.disturbed().Milliseconds())
+		}
 		reply.Running = append(reply.Running, t)
 	}
 	return reply
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -392,3 +392,24 @@
 		})
 	}
 }
+
+// TestSystemPacesWorkThatFills runs work that fills beside work that serves: at
+// full speed it triples the latency, which may grow by half.
+func TestSystemPacesWorkThatFills(t *testing.T) {
+	s := newSystem(t, 1, 1)
+	serve, fill := tasks(1), tasks(2)
+	serve.LongRunning, serve.Target = true, 30*time.Millisecond
+	fill.LongRunning, fill.Fills = true, true
+	s.submit("serve", "serve", serve)
+	s.started(1)
+	s.submit("fill", "fill", fill)
+	s.started(3)
+	s.wait(func() bool {
+		paces := s.workers[0].Paces()
+		kept := len(paces) == 3
+		for id, percent := range paces {
+			kept = kept && (id.Job == "serve" && percent == 100 || id.Job == "fill" && percent <= 12)
+		}
+		return kept
+	}, func() string { return fmt.Sprintf("paces are %v", s.workers[0].Paces()) })
+}
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -18,6 +18,7 @@
 	Start func(ctx context.Context, o StartOrder) error
 	Stop  func(ctx context.Context, o StopOrder) error
 	Hold  func(ctx context.Context, o HoldOrder) (HoldReply, error)
+	Pace  func(ctx context.Context, o PaceOrder) error
 }
 
 // StartOrder starts a run. Clocks of a worker count from its own start.
@@ -45,6 +46,15 @@
 	Wait     time.Duration // the answer waits so long for an end
 }
 
+// PaceOrder lets a run work, and disturb others, at a share of its speed. A run
+// starts at 100 percent.
+type PaceOrder struct {
+	wire.TaskRun
+	Instance string
+	Token    uint64
+	Percent  int
+}
+
 // HoldReply is what a worker says of its runs.
 type HoldReply struct {
 	Clock   time.Duration // on the worker's clock
