--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -45,7 +45,7 @@
 	life := a.life
 	o := HoldOrder{
 		Instance: a.info.Instance, Token: a.token(), Until: a.lease(now),
-		Acked: a.orders.Acked, Wait: holdWait,
+		Acked: a.acked(), Wait: holdWait,
 	}
 	if a.sharing() {
 		o.Wait = paceLook
@@ -58,7 +58,7 @@
 	if unacked {
 		a.pause(ctx, ackWait, a.acks, a.fresh)
 		a.mu.Lock()
-		o.Acked, o.Token, o.Wait = a.orders.Acked, a.token(), 0
+		o.Acked, o.Token, o.Wait = a.acked(), a.token(), 0
 		if life != a.life || o.Instance != a.info.Instance {
 			o.Acked = 0
 		}
@@ -78,6 +78,15 @@
 	a.take(reply, o, sent, life)
 }
 
+// acked returns the newest end of the worker's present lifetime that is durable.
+// Numbers begin anew in each lifetime.
+func (a *Agent) acked() int {
+	if a.orders.Instance != a.info.Instance || a.orders.Born != a.info.Born {
+		return 0
+	}
+	return a.orders.Acked
+}
+
 // unsettled reports whether a stop waits for a look at the worker.
 func (a *Agent) unsettled() bool {
 	for r, p := range a.pending {
@@ -115,7 +124,7 @@
 func (a *Agent) lookNow(ctx context.Context) {
 	a.mu.Lock()
 	life := a.life
-	o := HoldOrder{Instance: a.info.Instance, Token: a.token(), Until: a.lease(time.Now()), Acked: a.orders.Acked}
+	o := HoldOrder{Instance: a.info.Instance, Token: a.token(), Until: a.lease(time.Now()), Acked: a.acked()}
 	a.mu.Unlock()
 	sent := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/io/worker/link_test.go
+++ b/io/worker/link_test.go
@@ -101,3 +101,41 @@
 	is.NoErr(second.Send(&wire.WorkerOrders{Sequence: 1, Epoch: 1, Token: 2 << 8}))
 	wait(func() bool { return s.reports.Load() > before })
 }
+
+// TestAcknowledgementsOfAnOlderLifetime lets a worker begin a new lifetime whose
+// numbers of ends start anew. What was acknowledged before must not reach it.
+func TestAcknowledgementsOfAnOlderLifetime(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStandin().Store()
+	s := newSilentScheduler(t, store)
+	holds := make(chan worker.HoldOrder, 1000)
+	w := worker.Worker{Hold: func(_ context.Context, o worker.HoldOrder) (worker.HoldReply, error) {
+		holds <- o
+		time.Sleep(5 * time.Millisecond)
+		return worker.HoldReply{}, nil
+	}}
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: store, Worker: w, Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+	})
+	defer a.Close()
+	life := func(n int64) worker.Announcement {
+		return worker.Announcement{
+			WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: n, State: wire.WorkerReady}, Sequence: 1, Clock: time.Second,
+		}
+	}
+	a.Announce(life(1))
+	conn := <-s.conns
+	is.NoErr(conn.Send(&wire.WorkerOrders{Sequence: 1, Epoch: 1, Token: 1 << 8, Instance: "i-1", Born: 1, Acked: 5}))
+	for o := range holds {
+		if o.Acked == 5 {
+			break
+		}
+	}
+	a.Announce(life(2))
+	for o := range holds {
+		if o.Token == 1<<8+2 { // the token counts lifetimes
+			is.Equal(o.Acked, 0)
+			break
+		}
+	}
+}
--- a/io/worker/standin.go
+++ b/io/worker/standin.go
@@ -30,18 +30,21 @@
 // Standin is a worker in memory, for tests and local use. It runs a task by
 // waiting, for the duration that its spec states.
 type Standin struct {
-	cfg    StandinConfig
-	start  time.Time
-	mu     sync.Mutex
-	faults StandinFaults
-	token  uint64
-	until  time.Time // end of the lease
-	runs   map[wire.TaskID]*standinRun
-	last   map[wire.TaskID]int // newest run that was stopped or has ended
-	ended  []wire.EndedRun
-	number int
-	starts map[wire.TaskRun]int // how often each run has begun
-	ends   chan struct{}        // closed at the next end
+	cfg     StandinConfig
+	start   time.Time
+	mu      sync.Mutex
+	faults  StandinFaults
+	crashed bool
+	token   uint64
+	until   time.Time // end of the lease
+	runs    map[wire.TaskID]*standinRun
+	last    map[wire.TaskID]int // newest run that was stopped or has ended
+	ended   []wire.EndedRun
+	history []StandinRun
+	acked   int // ends up to this number are forgotten
+	number  int
+	starts  map[wire.TaskRun]int // how often each run has begun
+	ends    chan struct{}        // closed at the next end
 }
 
 type standinRun struct {
@@ -144,7 +147,9 @@
 		time.AfterFunc(s.faults.Late, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			_ = f() // nobody hears the answer
+			if !s.crashed {
+				_ = f() // nobody hears the answer
+			}
 		})
 		return errNoAnswer
 	}
@@ -257,31 +262,81 @@
 	}
 }
 
-// settle takes in what has ended by now.
+// settle takes in what has ended by now, each at its own time.
 func (s *Standin) settle(now time.Time) {
 	for id, r := range s.runs {
-		switch {
-		case now.After(s.until):
-			s.end(id, r, wire.EndLapsed)
-		case !r.stopped.IsZero() && !now.Before(r.stopped):
-			s.end(id, r, wire.EndStopped)
-		case s.faults.Hang || now.Before(r.until):
-		case s.faults.Fail:
-			s.end(id, r, wire.EndFailed)
-		default:
-			s.end(id, r, wire.EndDone)
+		if at, how := s.ending(r); !at.After(now) {
+			s.end(id, r, how, at)
 		}
 	}
 }
 
-func (s *Standin) end(id wire.TaskID, r *standinRun, how wire.RunEnd) {
+// ending returns when and how a run ends if nothing else happens.
+func (s *Standin) ending(r *standinRun) (time.Time, wire.RunEnd) {
+	at, how := s.until, wire.EndLapsed
+	if !r.stopped.IsZero() && r.stopped.Before(at) {
+		at, how = r.stopped, wire.EndStopped
+	}
+	if !s.faults.Hang && r.until.Before(at) {
+		at, how = r.until, wire.EndDone
+		if s.faults.Fail {
+			how = wire.EndFailed
+		}
+	}
+	return at, how
+}
+
+func (s *Standin) end(id wire.TaskID, r *standinRun, how wire.RunEnd, at time.Time) {
 	delete(s.runs, id)
 	s.number++
 	s.last[id] = max(s.last[id], r.number)
 	s.ended = append(s.ended, wire.EndedRun{Number: s.number, Task: id, Run: r.number, How: how})
+	s.history = append(s.history, StandinRun{
+		TaskRun: wire.TaskRun{Task: id, Run: r.number}, Began: r.began, Ended: at, How: how, number: s.number,
+	})
+}
+
+// StandinRun is a run that a stand-in has had.
+type StandinRun struct {
+	wire.TaskRun
+	Began, Ended time.Time
+	How          wire.RunEnd
+	Acked        bool // the worker was told to forget the end
+
+	number int
+}
+
+// Crash ends the worker and all that it runs. It answers nothing from then on.
+func (s *Standin) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.settle(now)
+	for id, r := range s.runs {
+		s.end(id, r, wire.EndCrashed, now)
+	}
+	s.crashed, s.faults = true, StandinFaults{Silent: true}
+}
+
+// History returns all runs that have ended by now, and those that go on with an
+// end of now.
+func (s *Standin) History() []StandinRun {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.settle(now)
+	history := append([]StandinRun(nil), s.history...)
+	for i := range history {
+		history[i].Acked = history[i].number <= s.acked
+	}
+	for id, r := range s.runs {
+		history = append(history, StandinRun{TaskRun: wire.TaskRun{Task: id, Run: r.number}, Began: r.began, Ended: now})
+	}
+	return history
 }
 
 func (s *Standin) forget(acked int) {
+	s.acked = max(s.acked, acked)
 	kept := s.ended[:0]
 	for _, e := range s.ended {
 		if e.Number > acked {
