Explain a job and show the pool from any entry, and bound the log by event

Cause: on the users' platform nobody could ask what had become of a job but by searching logs; explain and status knew the older engine only. A job of 2,000 tasks wrote 2,000 lines at once, and lines that the ring dropped were counted nowhere. Change: an entry serves /pool and /jobs/ID on its metrics address, answered by the scheduler and by the rows; explain -entry and status -entry print them, and say what could not be reached. check -boot shows what a process takes from a settings file of the platform. The log writes at most 200 lines a second of one event and counts the rest, and what the ring has lost, in a line of its own. Test: TestOperatorsFollowAJob, TestCheckOfAPlatformSettingsFile, TestBudget, TestLoggingNeverBlocks.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -338,6 +338,7 @@
 }
 
 func (e *Engine) decide(d Decision) {
+	e.note(d)
 	if e.cfg.Decision != nil {
 		e.cfg.Decision(d)
 	}
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -26,6 +26,8 @@
 	changes  uint64    // counts changes of the durable state
 	written  uint64    // changes that are durable
 	dirty    bool
+
+	decisions []Decision // the newest ones
 }
 
 type stageKey struct{ occurrence, step int }
--- a/io/logfmt/logger.go
+++ b/io/logfmt/logger.go
@@ -24,14 +24,14 @@
 
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
-// New returns a logger to w for lines of at least the given level. dropped is
-// called with the number of lines that were lost.
-func New(w io.Writer, level zerolog.Level, dropped func(n int)) *Logger {
-	ring := diode.NewWriter(console(w), ringLines, 0, dropped)
-	return &Logger{
-		Logger: zerolog.New(ring).Level(level).Hook(zerolog.HookFunc(stamp)),
-		ring:   ring,
-	}
+// New returns a logger to w for lines of at least the given level. Lines that are
+// kept back are counted in a line of their own.
+func New(w io.Writer, level zerolog.Level) *Logger {
+	var b *budget
+	ring := diode.NewWriter(console(w), ringLines, 0, func(n int) { b.lost(n) })
+	plain := zerolog.New(ring).Level(level).Hook(zerolog.HookFunc(stamp))
+	b = newBudget(plain, time.Now)
+	return &Logger{Logger: plain.Hook(b), ring: ring}
 }
 
 // stamp adds the time, in UTC with milliseconds.
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -88,3 +89,31 @@
 }
 
 func escape(name string) string { return url.PathEscape(name) }
+
+// entryFlag adds the flag of an entry's metrics address.
+func entryFlag(fs *flag.FlagSet) *string {
+	return fs.String("entry", "", "metrics `ADDRESS` of an entry that serves durable jobs")
+}
+
+// readEntry reads a path of an entry's metrics address.
+func readEntry(address, path string, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return eris.Wrap(err, "entry")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return eris.Wrap(err, "entry")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &ReplyError{Status: resp.StatusCode, Detail: strings.TrimSpace(string(data))}
+	}
+	return json.Unmarshal(data, out)
+}
--- a/io/operator/cmd_check.go
+++ b/io/operator/cmd_check.go
@@ -12,19 +12,24 @@
 
 	"bramleythread/core/config"
 	"bramleythread/core/plan"
+	adapter "bramleythread/platform"
 )
 
 var cmdCheck = &Command{
 	Name:        "check",
 	Description: "Validates a configuration, prints every fault and shows the plan",
-	Args:        "-base FILE [-overlay FILE]",
+	Args:        "-base FILE [-overlay FILE] | -boot FILE",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("check", env)
 		base := fs.String("base", "", "base configuration `FILE`")
 		overlay := fs.String("overlay", "", "overlay `FILE` of the site")
+		boot := fs.String("boot", "", "settings `FILE` of the users' platform")
 		if err := parse(env, fs, args, 0); err != nil {
 			return err
 		}
+		if *boot != "" {
+			return checkBoot(env, *boot)
+		}
 		sources, err := readSources(*base, *overlay)
 		if err != nil {
 			return err
@@ -111,3 +116,17 @@
 func alike(a, b plan.Home) bool {
 	return a.Customer == b.Customer && a.Shape == b.Shape && slices.Equal(a.Workers, b.Workers)
 }
+
+// checkBoot validates a settings file of the users' platform and shows what a
+// process takes from it.
+func checkBoot(env Env, file string) error {
+	s, err := adapter.LoadSettings(file)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(env.Stdout, "%s in %s at %s: peers %s, store %s\n", s.Node, s.Zone, s.Address, s.Peers, s.Store)
+	_, _ = fmt.Fprintf(env.Stdout, "  callers %s, readiness %s, agent %s, worker %s, advice %s\n", s.Callers, s.Readiness, s.Agent, s.Worker, s.Advice)
+	_, _ = fmt.Fprintf(env.Stdout, "  states kept for %s, revocation within %s, stop within %s, far work %gx, %d MiB\n",
+		s.Retention, s.RevocationLimit, s.TerminationGrace, s.RackFactor, s.MemoryBytes>>20)
+	return nil
+}
--- a/io/operator/cmd_explain.go
+++ b/io/operator/cmd_explain.go
@@ -9,14 +9,18 @@
 
 var cmdExplain = &Command{
 	Name:        "explain",
-	Description: "Tells why a request went where it did",
-	Args:        "[-settings FILE] REQUEST",
+	Description: "Tells why a request or a job went where it did",
+	Args:        "[-settings FILE] REQUEST | -entry ADDRESS JOB",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("explain", env)
 		settings := settingsFlag(fs)
+		entry := entryFlag(fs)
 		if err := parse(env, fs, args, 1); err != nil {
 			return err
 		}
+		if *entry != "" {
+			return explainJob(env, *entry, fs.Arg(0))
+		}
 		s, err := operatorSettings(env, *settings)
 		if err != nil {
 			return err
@@ -32,3 +36,30 @@
 		return nil
 	},
 }
+
+// explainJob prints what an entry finds out about a durable job.
+func explainJob(env Env, entry, id string) error {
+	var r caller.JobReport
+	if err := readEntry(entry, caller.JobsPath+escape(id), &r); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(env.Stdout, "job %s: %s\n", r.ID, r.Verdict())
+	_, _ = fmt.Fprintf(env.Stdout, "rows: stored %t, cancelled %t, state %q\n", r.Stored, r.Cancelled, r.Row)
+	for _, e := range []string{r.StoreErr, r.AskErr} {
+		if e != "" {
+			_, _ = fmt.Fprintf(env.Stdout, "not reached: %s\n", e)
+		}
+	}
+	x := r.Scheduler
+	if x == nil {
+		return nil
+	}
+	_, _ = fmt.Fprintf(env.Stdout, "scheduler %s, epoch %d\n", x.Scheduler, x.Epoch)
+	for _, s := range x.Stages {
+		_, _ = fmt.Fprintf(env.Stdout, "occurrence %d step %d: %d of %d tasks done, %d running %s\n", s.Occurrence, s.Step, s.Done, s.Tasks, s.Running, s.Waits)
+	}
+	for _, d := range x.Decisions {
+		_, _ = fmt.Fprintln(env.Stdout, d)
+	}
+	return nil
+}
--- a/io/operator/cmd_status.go
+++ b/io/operator/cmd_status.go
@@ -8,18 +8,28 @@
 	"time"
 
 	"bramleythread/io/caller"
+	"bramleythread/io/wire"
 )
 
 var cmdStatus = &Command{
 	Name:        "status",
-	Description: "Shows an entry's view of the workers, the queue and the plan",
-	Args:        "[-settings FILE]",
+	Description: "Shows an entry's view of the workers, the queue and the plan, or the pool of a scheduler",
+	Args:        "[-settings FILE] | -entry ADDRESS",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("status", env)
 		settings := settingsFlag(fs)
+		entry := entryFlag(fs)
 		if err := parse(env, fs, args, 0); err != nil {
 			return err
 		}
+		if *entry != "" {
+			var pool wire.StatusAnswer
+			if err := readEntry(*entry, caller.PoolPath, &pool); err != nil {
+				return err
+			}
+			printPool(env.Stdout, pool)
+			return nil
+		}
 		s, err := operatorSettings(env, *settings)
 		if err != nil {
 			return err
@@ -60,3 +70,17 @@
 		return "gone"
 	}
 }
+
+// printPool prints what the scheduler knows of its workers.
+func printPool(out io.Writer, p wire.StatusAnswer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	defer func() { _ = w.Flush() }()
+	_, _ = fmt.Fprintf(w, "scheduler %s, epoch %d, lease written %s ago, offered %t, %d jobs, %d stages wait\n",
+		p.Scheduler, p.Epoch, p.LeaseAge.Round(time.Millisecond), p.Offered, p.Jobs, p.Waiting)
+	_, _ = fmt.Fprintln(w, "NODE\tSERVICE\tZONE\tRACK\tSTATE\tHEARD\tACCELERATORS\tCORES\tRUNS\tEJECTED")
+	for _, x := range p.Workers {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d/%d\t%d/%d\t%d\t%s\n", x.Node, x.Service, x.Zone, x.Rack, x.State,
+			x.Heard.Round(time.Millisecond), x.Used.Accelerators, x.Capacity.Accelerators, x.Used.CPU/1000, x.Capacity.CPU/1000,
+			x.Runs, x.Ejected.Round(time.Millisecond))
+	}
+}
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	log := logfmt.New(env.Stdout, zerolog.InfoLevel, func(int) {})
+	log := logfmt.New(env.Stdout, zerolog.InfoLevel)
 	return runProcess(log, func() (process, error) {
 		p, err := Boot(role, s, log.Logger)
 		if err != nil {
@@ -169,10 +169,12 @@
 			Decision:   logDecision(log, metrics),
 		},
 	}, l)
-	ingress := &adapter.Ingress{Door: p.door, Log: log, Jobs: &caller.Jobs{
+	jobs := &caller.Jobs{
 		Store: store, Health: health, Ask: p.candidate.Ask, Log: log, Metrics: caller.NewJobMetrics(registry, p.catalog),
-	}}
+	}
+	ingress := &adapter.Ingress{Door: p.door, Log: log, Jobs: jobs}
 	mux := newMux(registry, p.door.Ready)
+	jobs.RegisterStatus(mux)
 	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if !p.door.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/io/operator/run.go
+++ b/io/operator/run.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
-	return logfmt.New(env.Stderr, l, func(int) {})
+	return logfmt.New(env.Stderr, l)
 }
 
 // runProcess starts a process and stops it on a signal. A second signal ends
--- a/io/scheduler/serve.go
+++ b/io/scheduler/serve.go
@@ -107,6 +107,14 @@
 	case *wire.JobQuery:
 		queue, state, known := h.engine.State(v.ID)
 		return &wire.JobAnswer{Known: known && h.open[v.ID] == nil, Queue: queue, State: state}
+	case *wire.ExplainQuery:
+		a := h.engine.Explain(v.ID, time.Now())
+		a.Scheduler, a.Epoch = h.cfg.Node, h.writer.lease.Epoch
+		return a
+	case *wire.StatusQuery:
+		a := h.engine.Status(time.Now())
+		a.Scheduler, a.Epoch, a.LeaseAge, a.Offered = h.cfg.Node, h.writer.lease.Epoch, time.Since(h.confirmAt), h.yielding
+		return a
 	case *wire.QueueQuery:
 		return &wire.QueueAnswer{Pending: h.engine.Pending(v.Queue)}
 	}
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -307,3 +307,61 @@
 type SubmitAnswer struct {
 	Outcome SubmitOutcome `msg:"outcome"`
 }
+
+// ExplainQuery asks the scheduler what it has decided on a job.
+type ExplainQuery struct {
+	ID string `msg:"id"`
+}
+
+// ExplainAnswer tells how far a job has come. It is nothing to rely on: what a
+// former scheduler decided is known by the job's rows only.
+type ExplainAnswer struct {
+	Known     bool           `msg:"known"`
+	Scheduler string         `msg:"scheduler"`
+	Epoch     uint64         `msg:"epoch"`
+	State     JobState       `msg:"state"`
+	Queue     string         `msg:"queue"`
+	Customer  string         `msg:"customer"`
+	Age       time.Duration  `msg:"age"`
+	Stages    []StageSummary `msg:"stages"`
+	Decisions []string       `msg:"decisions"` // the newest ones, oldest first
+}
+
+// StageSummary is how far one step of one occurrence has come.
+type StageSummary struct {
+	Occurrence int    `msg:"occurrence"`
+	Step       int    `msg:"step"`
+	Tasks      int    `msg:"tasks"`
+	Done       int    `msg:"done"`
+	Running    int    `msg:"running"`
+	Waits      string `msg:"waits"` // why tasks of it wait; empty if none does
+}
+
+// StatusQuery asks the scheduler for the state of the pool.
+type StatusQuery struct{}
+
+// StatusAnswer is the state of the pool.
+type StatusAnswer struct {
+	Scheduler string         `msg:"scheduler"`
+	Epoch     uint64         `msg:"epoch"`
+	LeaseAge  time.Duration  `msg:"lease_age"` // since the lease was last written
+	Offered   bool           `msg:"offered"`   // another entry is asked to take over
+	Jobs      int            `msg:"jobs"`      // that have not ended
+	Waiting   int            `msg:"waiting"`   // stages with tasks that wait
+	Workers   []WorkerStatus `msg:"workers"`
+}
+
+// WorkerStatus is what the scheduler believes of one worker.
+type WorkerStatus struct {
+	Node     string        `msg:"node"`
+	Instance string        `msg:"instance"`
+	Service  string        `msg:"service"`
+	Zone     string        `msg:"zone"`
+	Rack     string        `msg:"rack"`
+	State    WorkerState   `msg:"state"`
+	Heard    time.Duration `msg:"heard"` // age of the newest report
+	Capacity Resources     `msg:"capacity"`
+	Used     Resources     `msg:"used"`
+	Runs     int           `msg:"runs"`
+	Ejected  time.Duration `msg:"ejected"` // for which it still gets no work; 0 if it does
+}
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -80,6 +80,245 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ExplainAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 9
+	// string "known"
+	o = append(o, 0x89, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = msgp.AppendBool(o, z.Known)
+	// string "scheduler"
+	o = append(o, 0xa9, 0x73, 0x63, 0x68, 0x65, 0x64, 0x75, 0x6c, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Scheduler)
+	// string "epoch"
+	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "state"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = msgp.AppendString(o, string(z.State))
+	// string "queue"
+	o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+	o = msgp.AppendString(o, z.Queue)
+	// string "customer"
+	o = append(o, 0xa8, 0x63, 0x75, 0x73, 0x74, 0x6f, 0x6d, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Customer)
+	// string "age"
+	o = append(o, 0xa3, 0x61, 0x67, 0x65)
+	o = msgp.AppendDuration(o, z.Age)
+	// string "stages"
+	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
+	for za0001 := range z.Stages {
+		o, err = z.Stages[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Stages", za0001)
+			return
+		}
+	}
+	// string "decisions"
+	o = append(o, 0xa9, 0x64, 0x65, 0x63, 0x69, 0x73, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Decisions)))
+	for za0002 := range z.Decisions {
+		o = msgp.AppendString(o, z.Decisions[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ExplainAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "known":
+			z.Known, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		case "scheduler":
+			z.Scheduler, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Scheduler")
+				return
+			}
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "state":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = JobState(zb0002)
+			}
+		case "queue":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "customer":
+			z.Customer, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Customer")
+				return
+			}
+		case "age":
+			z.Age, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Age")
+				return
+			}
+		case "stages":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stages")
+				return
+			}
+			if zb0003 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Stages) >= int(zb0003) {
+				z.Stages = (z.Stages)[:zb0003]
+			} else {
+				z.Stages = make([]StageSummary, zb0003)
+			}
+			for za0001 := range z.Stages {
+				bts, err = z.Stages[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stages", za0001)
+					return
+				}
+			}
+		case "decisions":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Decisions")
+				return
+			}
+			if zb0004 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Decisions) >= int(zb0004) {
+				z.Decisions = (z.Decisions)[:zb0004]
+			} else {
+				z.Decisions = make([]string, zb0004)
+			}
+			for za0002 := range z.Decisions {
+				z.Decisions[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Decisions", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ExplainAnswer) Msgsize() (s int) {
+	s = 1 + 6 + msgp.BoolSize + 10 + msgp.StringPrefixSize + len(z.Scheduler) + 6 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.StringPrefixSize + len(z.Queue) + 9 + msgp.StringPrefixSize + len(z.Customer) + 4 + msgp.DurationSize + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Stages {
+		s += z.Stages[za0001].Msgsize()
+	}
+	s += 10 + msgp.ArrayHeaderSize
+	for za0002 := range z.Decisions {
+		s += msgp.StringPrefixSize + len(z.Decisions[za0002])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ExplainQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "id"
+	o = append(o, 0x81, 0xa2, 0x69, 0x64)
+	o = msgp.AppendString(o, z.ID)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ExplainQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "id":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ExplainQuery) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.ID)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Job) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1602,6 +1841,107 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *StageSummary) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "occurrence"
+	o = append(o, 0x86, 0xaa, 0x6f, 0x63, 0x63, 0x75, 0x72, 0x72, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendInt(o, z.Occurrence)
+	// string "step"
+	o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
+	o = msgp.AppendInt(o, z.Step)
+	// string "tasks"
+	o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
+	o = msgp.AppendInt(o, z.Tasks)
+	// string "done"
+	o = append(o, 0xa4, 0x64, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendInt(o, z.Done)
+	// string "running"
+	o = append(o, 0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
+	o = msgp.AppendInt(o, z.Running)
+	// string "waits"
+	o = append(o, 0xa5, 0x77, 0x61, 0x69, 0x74, 0x73)
+	o = msgp.AppendString(o, z.Waits)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StageSummary) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "occurrence":
+			z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Occurrence")
+				return
+			}
+		case "step":
+			z.Step, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "tasks":
+			z.Tasks, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks")
+				return
+			}
+		case "done":
+			z.Done, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Done")
+				return
+			}
+		case "running":
+			z.Running, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		case "waits":
+			z.Waits, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waits")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StageSummary) Msgsize() (s int) {
+	s = 1 + 11 + msgp.IntSize + 5 + msgp.IntSize + 6 + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.IntSize + 6 + msgp.StringPrefixSize + len(z.Waits)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *StartTask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1720,7 +2060,193 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z SubmitAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StatusAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "scheduler"
+	o = append(o, 0x87, 0xa9, 0x73, 0x63, 0x68, 0x65, 0x64, 0x75, 0x6c, 0x65, 0x72)
+	o = msgp.AppendString(o, z.Scheduler)
+	// string "epoch"
+	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "lease_age"
+	o = append(o, 0xa9, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x5f, 0x61, 0x67, 0x65)
+	o = msgp.AppendDuration(o, z.LeaseAge)
+	// string "offered"
+	o = append(o, 0xa7, 0x6f, 0x66, 0x66, 0x65, 0x72, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Offered)
+	// string "jobs"
+	o = append(o, 0xa4, 0x6a, 0x6f, 0x62, 0x73)
+	o = msgp.AppendInt(o, z.Jobs)
+	// string "waiting"
+	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67)
+	o = msgp.AppendInt(o, z.Waiting)
+	// string "workers"
+	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+	for za0001 := range z.Workers {
+		o, err = z.Workers[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Workers", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StatusAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "scheduler":
+			z.Scheduler, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Scheduler")
+				return
+			}
+		case "epoch":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "lease_age":
+			z.LeaseAge, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeaseAge")
+				return
+			}
+		case "offered":
+			z.Offered, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offered")
+				return
+			}
+		case "jobs":
+			z.Jobs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Jobs")
+				return
+			}
+		case "waiting":
+			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "workers":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workers")
+				return
+			}
+			if zb0002 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Workers) >= int(zb0002) {
+				z.Workers = (z.Workers)[:zb0002]
+			} else {
+				z.Workers = make([]WorkerStatus, zb0002)
+			}
+			for za0001 := range z.Workers {
+				bts, err = z.Workers[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Workers", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StatusAnswer) Msgsize() (s int) {
+	s = 1 + 10 + msgp.StringPrefixSize + len(z.Scheduler) + 6 + msgp.Uint64Size + 10 + msgp.DurationSize + 8 + msgp.BoolSize + 5 + msgp.IntSize + 8 + msgp.IntSize + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Workers {
+		s += z.Workers[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StatusQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StatusQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StatusQuery) Msgsize() (s int) {
+	s = 1
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z SubmitAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 1
 	// string "outcome"
@@ -2821,6 +3347,204 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *WorkerStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 11
+	// string "node"
+	o = append(o, 0x8b, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
+	o = msgp.AppendString(o, z.Node)
+	// string "instance"
+	o = append(o, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Instance)
+	// string "service"
+	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Service)
+	// string "zone"
+	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, z.Zone)
+	// string "rack"
+	o = append(o, 0xa4, 0x72, 0x61, 0x63, 0x6b)
+	o = msgp.AppendString(o, z.Rack)
+	// string "state"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = msgp.AppendString(o, string(z.State))
+	// string "heard"
+	o = append(o, 0xa5, 0x68, 0x65, 0x61, 0x72, 0x64)
+	o = msgp.AppendDuration(o, z.Heard)
+	// string "capacity"
+	o = append(o, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.Capacity.CPU)
+	o = msgp.AppendInt(o, z.Capacity.Memory)
+	o = msgp.AppendInt(o, z.Capacity.Accelerators)
+	// string "used"
+	o = append(o, 0xa4, 0x75, 0x73, 0x65, 0x64)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.Used.CPU)
+	o = msgp.AppendInt(o, z.Used.Memory)
+	o = msgp.AppendInt(o, z.Used.Accelerators)
+	// string "runs"
+	o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Runs)
+	// string "ejected"
+	o = append(o, 0xa7, 0x65, 0x6a, 0x65, 0x63, 0x74, 0x65, 0x64)
+	o = msgp.AppendDuration(o, z.Ejected)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WorkerStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "node":
+			z.Node, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Node")
+				return
+			}
+		case "instance":
+			z.Instance, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Instance")
+				return
+			}
+		case "service":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "rack":
+			z.Rack, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rack")
+				return
+			}
+		case "state":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "State")
+					return
+				}
+				z.State = WorkerState(zb0002)
+			}
+		case "heard":
+			z.Heard, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Heard")
+				return
+			}
+		case "capacity":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity")
+				return
+			}
+			if zb0003 != 3 {
+				err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+				return
+			}
+			z.Capacity.CPU, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity", "CPU")
+				return
+			}
+			z.Capacity.Memory, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity", "Memory")
+				return
+			}
+			z.Capacity.Accelerators, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Capacity", "Accelerators")
+				return
+			}
+		case "used":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Used")
+				return
+			}
+			if zb0004 != 3 {
+				err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+				return
+			}
+			z.Used.CPU, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Used", "CPU")
+				return
+			}
+			z.Used.Memory, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Used", "Memory")
+				return
+			}
+			z.Used.Accelerators, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Used", "Accelerators")
+				return
+			}
+		case "runs":
+			z.Runs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+		case "ejected":
+			z.Ejected, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ejected")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *WorkerStatus) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.StringPrefixSize + len(z.Instance) + 8 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.StringPrefixSize + len(z.Zone) + 5 + msgp.StringPrefixSize + len(z.Rack) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.DurationSize + 9 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 5 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.DurationSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Yield) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/io/wire/kind.go
+++ b/io/wire/kind.go
@@ -43,6 +43,10 @@
 	KindRenewed
 	KindSubmitJob
 	KindSubmitAnswer
+	KindExplainQuery
+	KindExplainAnswer
+	KindStatusQuery
+	KindStatusAnswer
 )
 
 // Message is a message of the schema.
@@ -64,38 +68,42 @@
 }
 
 var makers = map[Kind]func() Message{
-	KindHello:        func() Message { return new(Hello) },
-	KindChallenge:    func() Message { return new(Challenge) },
-	KindAnswer:       func() Message { return new(Answer) },
-	KindReport:       func() Message { return new(Report) },
-	KindHomes:        func() Message { return new(Homes) },
-	KindRun:          func() Message { return new(Run) },
-	KindResult:       func() Message { return new(Result) },
-	KindHold:         func() Message { return new(Hold) },
-	KindHoldReply:    func() Message { return new(HoldReply) },
-	KindFree:         func() Message { return new(Free) },
-	KindGang:         func() Message { return new(Gang) },
-	KindPark:         func() Message { return new(Park) },
-	KindRelease:      func() Message { return new(Release) },
-	KindRenew:        func() Message { return new(Renew) },
-	KindStop:         func() Message { return new(Stop) },
-	KindCancel:       func() Message { return new(Cancel) },
-	KindFetch:        func() Message { return new(Fetch) },
-	KindDone:         func() Message { return new(Done) },
-	KindAskConfig:    func() Message { return new(AskConfig) },
-	KindConfig:       func() Message { return new(Config) },
-	KindPeers:        func() Message { return new(Peers) },
-	KindDrain:        func() Message { return new(Drain) },
-	KindWorkerReport: func() Message { return new(WorkerReport) },
-	KindWorkerOrders: func() Message { return new(WorkerOrders) },
-	KindJobQuery:     func() Message { return new(JobQuery) },
-	KindJobAnswer:    func() Message { return new(JobAnswer) },
-	KindQueueQuery:   func() Message { return new(QueueQuery) },
-	KindQueueAnswer:  func() Message { return new(QueueAnswer) },
-	KindYield:        func() Message { return new(Yield) },
-	KindRenewed:      func() Message { return new(Renewed) },
-	KindSubmitJob:    func() Message { return new(SubmitJob) },
-	KindSubmitAnswer: func() Message { return new(SubmitAnswer) },
+	KindHello:         func() Message { return new(Hello) },
+	KindChallenge:     func() Message { return new(Challenge) },
+	KindAnswer:        func() Message { return new(Answer) },
+	KindReport:        func() Message { return new(Report) },
+	KindHomes:         func() Message { return new(Homes) },
+	KindRun:           func() Message { return new(Run) },
+	KindResult:        func() Message { return new(Result) },
+	KindHold:          func() Message { return new(Hold) },
+	KindHoldReply:     func() Message { return new(HoldReply) },
+	KindFree:          func() Message { return new(Free) },
+	KindGang:          func() Message { return new(Gang) },
+	KindPark:          func() Message { return new(Park) },
+	KindRelease:       func() Message { return new(Release) },
+	KindRenew:         func() Message { return new(Renew) },
+	KindStop:          func() Message { return new(Stop) },
+	KindCancel:        func() Message { return new(Cancel) },
+	KindFetch:         func() Message { return new(Fetch) },
+	KindDone:          func() Message { return new(Done) },
+	KindAskConfig:     func() Message { return new(AskConfig) },
+	KindConfig:        func() Message { return new(Config) },
+	KindPeers:         func() Message { return new(Peers) },
+	KindDrain:         func() Message { return new(Drain) },
+	KindWorkerReport:  func() Message { return new(WorkerReport) },
+	KindWorkerOrders:  func() Message { return new(WorkerOrders) },
+	KindJobQuery:      func() Message { return new(JobQuery) },
+	KindJobAnswer:     func() Message { return new(JobAnswer) },
+	KindQueueQuery:    func() Message { return new(QueueQuery) },
+	KindQueueAnswer:   func() Message { return new(QueueAnswer) },
+	KindYield:         func() Message { return new(Yield) },
+	KindRenewed:       func() Message { return new(Renewed) },
+	KindSubmitJob:     func() Message { return new(SubmitJob) },
+	KindSubmitAnswer:  func() Message { return new(SubmitAnswer) },
+	KindExplainQuery:  func() Message { return new(ExplainQuery) },
+	KindExplainAnswer: func() Message { return new(ExplainAnswer) },
+	KindStatusQuery:   func() Message { return new(StatusQuery) },
+	KindStatusAnswer:  func() Message { return new(StatusAnswer) },
 }
 
 // Make returns an empty message of kind k.
@@ -202,3 +210,15 @@
 
 // Kind returns the kind of the message.
 func (*SubmitAnswer) Kind() Kind { return KindSubmitAnswer }
+
+// Kind returns the kind of the message.
+func (*ExplainQuery) Kind() Kind { return KindExplainQuery }
+
+// Kind returns the kind of the message.
+func (*ExplainAnswer) Kind() Kind { return KindExplainAnswer }
+
+// Kind returns the kind of the message.
+func (*StatusQuery) Kind() Kind { return KindStatusQuery }
+
+// Kind returns the kind of the message.
+func (*StatusAnswer) Kind() Kind { return KindStatusAnswer }
