Read the lease before a former holder is dialled, and keep jobs that an entry stored first

A holder that had just been deposed closed its links and stayed up as a candidate. The new scheduler heard nothing of that worker and started its runs elsewhere when their lease had lapsed; they had ended meanwhile. Ruled out: withdrawn jobs, late writes, rows that name another lifetime. Change: the first answer of the store, or 0.6 s, comes before the dial. Found by reading on the way: a job that an entry stored while the scheduler tried to insert it was withdrawn after the feed had shown its row, and then known to no scheduler until the next take-over. It is taken in from the conflict now.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -326,6 +326,11 @@
 	return j.Queue, state, true
 }
 
+// Expiring reports whether the rows of a job are about to be deleted.
+func (e *Engine) Expiring(id string) bool {
+	return slices.ContainsFunc(e.expired, func(j *Job) bool { return j.ID == id })
+}
+
 // Pending returns the number of a queue's jobs of which nothing has started.
 func (e *Engine) Pending(queue string) int {
 	n := 0
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -117,21 +117,9 @@
 		key := strings.TrimPrefix(row.Key, TableJob+"/")
 		if id, ok := strings.CutSuffix(key, CancelSuffix); ok {
 			cancelled = append(cancelled, id)
-			continue
-		}
-		if row.Deleted {
-			continue
+		} else if !row.Deleted {
+			h.takeJob(row, states[key], now)
 		}
-		var j wire.Job
-		if _, err := j.UnmarshalMsg(row.Value); err != nil {
-			h.cfg.Log.Error().Str("row", row.Key).Err(err).Msg("row_not_read")
-			continue
-		}
-		if _, _, known := h.engine.State(key); known {
-			continue
-		}
-		h.engine.Restore(j, states[key], now)
-		h.cfg.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Dur("age", now.Sub(j.Accepted)).Msg("job_taken_in")
 	}
 	for _, id := range cancelled {
 		h.engine.Cancel(id, now)
@@ -139,6 +127,32 @@
 	h.feed = c.Revision
 }
 
+// takeJob takes in one row of the job table. A job that is known stays as it is.
+// The caller holds the lock.
+func (h *holder) takeJob(row platform.Row, p *wire.JobProgress, now time.Time) {
+	var j wire.Job
+	if _, err := j.UnmarshalMsg(row.Value); err != nil {
+		h.cfg.Log.Error().Str("row", row.Key).Err(err).Msg("row_not_read")
+		return
+	}
+	if _, _, known := h.engine.State(j.ID); known || h.engine.Expiring(j.ID) {
+		return
+	}
+	h.engine.Restore(j, p, now)
+	h.cfg.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Dur("age", now.Sub(j.Accepted)).Msg("job_taken_in")
+}
+
+// takeStored takes in jobs whose rows an entry has written first. The feed may
+// have shown them before, while this process still hoped to insert them itself.
+func (h *holder) takeStored(rows []platform.Row) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, row := range rows {
+		h.takeJob(row, nil, time.Now())
+	}
+	h.poke()
+}
+
 // run decides, writes and sends orders until the lease is lost or ctx ends.
 func (h *holder) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -210,6 +224,8 @@
 		case errors.As(err, &exists) && len(taken) > 0:
 			there := existing(taken, exists.Rows)
 			h.withdraw(batch, there, wire.SubmitKnown)
+			h.takeStored(exists.Rows)
+
 			taken = slices.DeleteFunc(taken, func(s *submission) bool { return slices.Contains(there, s) })
 			if len(there) == 0 { // the store does not say which
 				h.withdraw(batch, taken, wire.SubmitUnknown)
--- a/io/scheduler/link.go
+++ b/io/scheduler/link.go
@@ -26,6 +26,10 @@
 	// linkPause is the least time between two connections, so that a
 	// scheduler that turns links away is not called in a tight loop.
 	linkPause = 100 * time.Millisecond
+
+	// firstLook bounds the wait for the lease before the holder that is known
+	// is dialled: an answer of a store that is slow a hundred times.
+	firstLook = 600 * time.Millisecond
 )
 
 // Link keeps a process connected to whoever is the scheduler.
@@ -119,6 +123,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	leases := l.followLease(ctx)
+	l.firstLease(ctx, leases)
 	for {
 		c, next := l.tryHolder(ctx, leases)
 		if c != nil {
@@ -135,6 +140,18 @@
 	}
 }
 
+// firstLease takes in the lease as the store has it now. A former holder that is
+// still up answers sooner than the store, and turns every link away.
+func (l *Link) firstLease(ctx context.Context, leases <-chan wire.SchedulerLease) {
+	t := time.NewTimer(firstLook)
+	defer t.Stop()
+	select {
+	case l.lease = <-leases:
+	case <-t.C: // the store does not answer; the known holder may
+	case <-ctx.Done():
+	}
+}
+
 // waitLease waits a moment for another lease than the one that is known.
 func (l *Link) waitLease(ctx context.Context, leases <-chan wire.SchedulerLease) *wire.SchedulerLease {
 	t := time.NewTimer(jitter(pollUnlinked))
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -55,7 +55,7 @@
 		return s
 	}
 	s := &submission{job: j, row: row, came: time.Now(), done: make(chan struct{})}
-	if _, _, known := h.engine.State(j.ID); known {
+	if _, _, known := h.engine.State(j.ID); known || h.engine.Expiring(j.ID) {
 		s.outcome = wire.SubmitKnown
 		close(s.done)
 		return s
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -27,8 +27,9 @@
 
 // link is a process's way to the store, which can be cut.
 type link struct {
-	store platform.Store
-	cut   atomic.Bool
+	store  platform.Store
+	cut    atomic.Bool
+	before atomic.Pointer[func(t platform.Txn)] // called before a commit
 }
 
 func (l *link) Store() platform.Store {
@@ -49,6 +50,9 @@
 		if err := refuse(); err != nil {
 			return 0, err
 		}
+		if before := l.before.Load(); before != nil {
+			(*before)(t)
+		}
 		return l.store.Commit(ctx, t)
 	}
 	s.Watch = func(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
@@ -413,3 +417,28 @@
 		return kept
 	}, func() string { return fmt.Sprintf("paces are %v", s.workers[0].Paces()) })
 }
+
+// TestEntryStoresAJobFirst lets the row of a job appear just before the
+// scheduler's own transaction would insert it.
+func TestEntryStoresAJobFirst(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, 1)
+	s.submit("first", "", tasks(1))
+	s.waitState("first", wire.JobCompleted)
+	var once sync.Once
+	before := func(t platform.Txn) {
+		for _, w := range t.Writes {
+			if w.Key == "job/j" {
+				once.Do(func() {
+					_, err := s.store.Store().Commit(context.Background(), platform.Txn{Writes: []platform.Write{w}})
+					is.NoErr(err)
+					time.Sleep(100 * time.Millisecond) // the scheduler's feed shows it
+				})
+			}
+		}
+	}
+	s.links[0].before.Store(&before)
+	s.submit("j", "", tasks(2))
+	s.waitState("j", wire.JobCompleted)
+	is.Equal(len(s.starts()), 3)
+}
