Play loads against the decision code on a virtual clock, with policies to compare

Test: TestCrestAgainstFirstComeFirstServed (goal 1.5 times), TestPlaysRepeat, TestCalmDay, TestFaultyScenarios.

--- /dev/null
+++ b/core/emulate/emulate_test.go
@@ -0,0 +1,93 @@
+package emulate
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"bramleythread/core/job"
+
+	"github.com/matryer/is"
+)
+
+// seedsInCI are played of each scenario; by hand it is fifty.
+const seedsInCI = 8
+
+// crestGoal is how much more callers are to get at the crest of a load than from
+// first come, first served with first fit.
+const crestGoal = 1.5
+
+func TestCrestAgainstFirstComeFirstServed(t *testing.T) {
+	files, err := filepath.Glob("../../examples/scenarios/*.ini")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scenarios", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s, err := Load(file)
+			is.NoErr(err)
+			var present, base float64
+			for seed := range uint64(seedsInCI) {
+				present += Play(s, job.Policies["present"], seed).Crest
+				base += Play(s, job.Policies["fcfs"], seed).Crest
+			}
+			if present < crestGoal*base {
+				t.Errorf("earned at the crest: %.3f, first come first served %.3f", present/seedsInCI, base/seedsInCI)
+			}
+		})
+	}
+}
+
+func TestPlaysRepeat(t *testing.T) {
+	is := is.New(t)
+	s, err := Load("../../examples/scenarios/chaophraya.ini")
+	is.NoErr(err)
+	first, second := Play(s, job.Policy{}, 7), Play(s, job.Policy{}, 7)
+	is.Equal(first, second)
+	is.True(first.Jobs > 0 && first.Earned > 0)
+	is.True(first.Earned <= first.Owed)
+}
+
+// TestCalmDay plays a load that the fleet holds easily: everything is in time.
+func TestCalmDay(t *testing.T) {
+	is := is.New(t)
+	s, err := Load("../../examples/scenarios/chaophraya.ini")
+	is.NoErr(err)
+	s.Surges, s.Faults = nil, nil
+	for i := range s.Kinds {
+		s.Kinds[i].PerSecond /= 8
+		s.Kinds[i].Fails, s.Kinds[i].Hopeless, s.Kinds[i].MaxTasks = 0, 0, 3
+	}
+	for seed := range uint64(seedsInCI) {
+		o := Play(s, job.Policy{}, seed)
+		is.Equal(o.Open, 0)
+		is.Equal(o.Failed, 0)
+		is.True(o.Share() > 0.95)
+	}
+}
+
+func TestFaultyScenarios(t *testing.T) {
+	tests := map[string]string{
+		"a word for a number":   "[scenario]\nworkers = many\nrack = 3\n[kind a]\nper_second = 1\n",
+		"no unit of time":       "[scenario]\nworkers = 3\nrack = 3\nlength = 60\n[kind a]\nper_second = 1\n",
+		"a list with a word":    "[scenario]\nworkers = 3\nrack = 3\n[kind a]\naccelerators = 1,two\n",
+		"no kind of request":    "[scenario]\nworkers = 3\nrack = 3\n",
+		"not a scenario at all": "\x00[",
+	}
+	for name, text := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			file := filepath.Join(t.TempDir(), "s.ini")
+			is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+			_, err := Load(file)
+			is.True(err != nil)
+			var field *FieldError
+			if errors.As(err, &field) {
+				is.True(field.Key != "")
+			}
+		})
+	}
+}
--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -21,6 +21,9 @@
 	// gang that wants one rack, on several.
 	RackFactor float64
 
+	// Policy leaves out rules of placement and order; the zero value has all.
+	Policy Policy
+
 	// Decision is called for each decision on a job; it may be nil.
 	Decision func(d Decision)
 }
--- a/core/job/fit.go
+++ b/core/job/fit.go
@@ -16,24 +16,24 @@
 func (e *Engine) fitGang(s *stage, c []candidate, n int, now time.Time) []*Worker {
 	near := slices.DeleteFunc(slices.Clone(c), func(x candidate) bool { return !x.near })
 	if s.step.SameRack {
-		if chosen := fitRack(near, n); chosen != nil {
+		if chosen := e.fitRack(near, n); chosen != nil {
 			return chosen
 		}
 		if !e.settlesForFar(s, now) {
 			return nil
 		}
-		if chosen := fitRack(c, n); chosen != nil {
+		if chosen := e.fitRack(c, n); chosen != nil {
 			return chosen
 		}
-		return fill(c, n)
+		return e.fill(c, n)
 	}
-	if chosen := fill(near, n); chosen != nil {
+	if chosen := e.fill(near, n); chosen != nil {
 		return chosen
 	}
 	if !e.settlesForFar(s, now) {
 		return nil
 	}
-	return fill(c, n)
+	return e.fill(c, n)
 }
 
 // settlesForFar reports whether the stage has waited long enough to run where
@@ -73,7 +73,7 @@
 
 // fitRack chooses workers of one rack: the rack that has the least room left
 // afterwards, so that large free racks stay whole.
-func fitRack(c []candidate, n int) []*Worker {
+func (e *Engine) fitRack(c []candidate, n int) []*Worker {
 	racks := make(map[string][]candidate)
 	for _, x := range c {
 		racks[x.w.Rack] = append(racks[x.w.Rack], x)
@@ -81,7 +81,7 @@
 	var best []*Worker
 	least := 0
 	for _, rack := range racks {
-		chosen := fill(rack, n)
+		chosen := e.fill(rack, n)
 		if chosen == nil {
 			continue
 		}
@@ -99,11 +99,13 @@
 // fill chooses a worker for each of n tasks, or returns nil. Workers with the
 // least room are filled first, but one that holds all that is left is taken
 // whole.
-func fill(c []candidate, n int) []*Worker {
+func (e *Engine) fill(c []candidate, n int) []*Worker {
 	c = slices.Clone(c)
-	slices.SortStableFunc(c, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.room, b.room), cmp.Compare(spare(a.w), spare(b.w)))
-	})
+	if !e.cfg.Policy.FirstFit {
+		slices.SortStableFunc(c, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(a.room, b.room), cmp.Compare(spare(a.w), spare(b.w)))
+		})
+	}
 	total := 0
 	for _, x := range c {
 		total += min(x.room, n)
@@ -135,9 +137,11 @@
 	if !e.settlesForFar(s, now) {
 		c = slices.DeleteFunc(c, func(x candidate) bool { return !x.near })
 	}
-	slices.SortStableFunc(c, func(a, b candidate) int {
-		return cmp.Or(-cmp.Compare(btoi(a.near), btoi(b.near)), cmp.Compare(spare(a.w), spare(b.w)))
-	})
+	if !e.cfg.Policy.FirstFit {
+		slices.SortStableFunc(c, func(a, b candidate) int {
+			return cmp.Or(-cmp.Compare(btoi(a.near), btoi(b.near)), cmp.Compare(spare(a.w), spare(b.w)))
+		})
+	}
 	var placed []*task
 	var chosen []*Worker
 	var rest []*task
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -23,6 +22,9 @@
 	e.reservations = 0
 	for _, s := range queue {
 		e.place(s, now)
+		if e.cfg.Policy.FirstCome && len(s.waiting()) > 0 {
+			return
+		}
 	}
 }
 
@@ -73,9 +75,7 @@
 	for _, s := range queue {
 		rank[s] = e.rank(s, now)
 	}
-	slices.SortStableFunc(queue, func(a, b *stage) int {
-		return cmp.Or(cmp.Compare(a.job.Priority, b.job.Priority), cmp.Compare(rank[a], rank[b]))
-	})
+	e.sortQueue(queue, rank)
 	return queue
 }
 
@@ -113,10 +113,12 @@
 		}
 	}
 	e.explainWait(s, c, len(tasks), now)
-	if s.job.Priority == 0 && s.held == nil {
+	if s.job.Priority == 0 && s.held == nil && !e.cfg.Policy.NoReclaim {
 		e.reclaim(s, tasks, now)
 	}
-	e.reserve(s, len(tasks), now)
+	if !e.cfg.Policy.NoReserve {
+		e.reserve(s, len(tasks), now)
+	}
 }
 
 // explainWait notes why tasks of a stage wait, when that changes.
@@ -182,7 +184,7 @@
 // suitable is eligible without regard to advice.
 func (e *Engine) suitable(w *Worker, s *stage, now time.Time) bool {
 	return w.known && w.State == wire.WorkerReady && now.Sub(w.heard) <= reportLimit &&
-		w.Service == s.job.Service && w.health.usable(now) &&
+		w.Service == s.job.Service && (w.health.usable(now) || e.cfg.Policy.NoEjection) &&
 		(s.step.Label == "" || slices.Contains(w.Labels, s.step.Label))
 }
 
