Tell in the log why a run was stopped

Cause: run_end said stopped for every cause, so that the work thrown away on the grown deployments could not be told apart by its log. Change: reason=stopped:CAUSE (preempted, job_cancelled, worker_draining, ...).

--- a/core/job/report.go
+++ b/core/job/report.go
@@ -120,7 +120,7 @@
 		return
 	}
 	j := r.task.stage.job
-	e.end(r, end.How, end.Checkpoint, string(end.How), now)
+	e.end(r, end.How, end.Checkpoint, r.reason(end.How), now)
 	a := ack{number: end.Number}
 	if j.written < j.changes { // also if another end has made the change
 		a.job, a.change = j, j.changes
@@ -128,6 +128,15 @@
 	w.acks = append(w.acks, a)
 }
 
+// reason tells how a run has ended and, if that is because we have stopped it or
+// a member of its gang, why.
+func (r *run) reason(how wire.RunEnd) string {
+	if r.cause == "" || how != wire.EndStopped && how != wire.EndBroken {
+		return string(how)
+	}
+	return string(how) + ":" + r.cause
+}
+
 // takeRunning compares what the worker runs with what it is to run.
 func (e *Engine) takeRunning(w *Worker, running []wire.RunningTask, now time.Time) {
 	clear(w.strays)
