Prove that a draining worker gets nothing new

Test: TestDrainingWorker (what is stopped and what may end), and TestNothingStartsOnADrainingWorker, which fails without the agent's own check. Conclusion: no fault found.

--- a/core/job/serving_test.go
+++ b/core/job/serving_test.go
@@ -130,3 +130,53 @@
 		is.Equal(r.use[f.runs("short")[0].worker], 1)
 	}
 }
+
+// TestDrainingWorker lets a worker say that it will leave. It gets nothing new,
+// and keeps what ends before it leaves.
+func TestDrainingWorker(t *testing.T) {
+	saves := step(1, 4)
+	saves.Checkpoints = true
+	tests := map[string]struct {
+		step      wire.JobStep
+		began     bool
+		remaining time.Duration // until the worker leaves, at the least
+		stopped   bool
+	}{
+		"work that ends in time":          {step: step(1, 4), began: true, remaining: time.Minute},
+		"work that would be lost":         {step: step(1, 4), began: true, stopped: true},
+		"work that saves":                 {step: saves, began: true, remaining: time.Minute, stopped: true},
+		"work that has not begun":         {step: step(1, 4), remaining: time.Minute, stopped: true},
+		"a whole gang, for one member":    {step: gang(4, 4), began: true, stopped: true},
+		"lasting work, to begin it anew":  {step: serving(1, 4, 1), began: true, remaining: time.Minute, stopped: true},
+		"lasting work that has not begun": {step: serving(1, 4, 1), remaining: time.Minute, stopped: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.workers(2)
+			f.e.Submit(f.job("j", 1, tt.step), f.now)
+			f.tick()
+			if tt.began {
+				f.workers(2)
+			}
+			leaving := f.runs("j")[0].worker.Node
+			f.report(leaving, func(r *wire.WorkerReport) {
+				r.Worker.State, r.Worker.Remaining = wire.WorkerDraining, tt.remaining
+				if !tt.began {
+					r.Running = nil
+				}
+			}, nil)
+			for _, r := range f.runs("j") {
+				is.Equal(r.phase == stopping, tt.stopped)
+			}
+			f.e.Submit(f.job("new", 1, step(8, 1)), f.now)
+			f.tick()
+			for _, r := range f.runs("new") {
+				is.True(r.worker.Node != leaving)
+			}
+			o, _ := f.e.Orders(leaving)
+			is.Equal(len(o.Starts), 0)
+		})
+	}
+}
--- a/io/worker/link_test.go
+++ b/io/worker/link_test.go
@@ -21,6 +21,7 @@
 type silentScheduler struct {
 	conns   chan *frame.Conn
 	reports atomic.Int64
+	last    atomic.Pointer[wire.WorkerReport]
 }
 
 // newSilentScheduler starts one, and names it in the row of the lease.
@@ -37,8 +38,9 @@
 	go frame.Serve(l, 8, frame.Config{
 		Local: wire.Hello{Role: wire.RoleEntry, Name: "entry", Address: addr}, Key: key,
 		Handle: func(_ context.Context, _ *frame.Conn, m wire.Message) wire.Message {
-			if _, ok := m.(*wire.WorkerReport); ok {
+			if r, ok := m.(*wire.WorkerReport); ok {
 				s.reports.Add(1)
+				s.last.Store(r)
 			}
 			return nil
 		},
@@ -139,3 +141,39 @@
 		}
 	}
 }
+
+// TestNothingStartsOnADrainingWorker orders a start that crosses the worker's
+// word that it drains. The scheduler is told that it was not carried out.
+func TestNothingStartsOnADrainingWorker(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStandin().Store()
+	s := newSilentScheduler(t, store)
+	standin := worker.NewStandin(worker.StandinConfig{
+		Info: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}, LeaseLimit: 6 * time.Second, StopTime: time.Millisecond,
+	})
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: store, Worker: standin.Worker(), Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+	})
+	defer a.Close()
+	a.Announce(standin.Announcement(1))
+	conn := <-s.conns
+	orders := func(sequence uint64, starts ...wire.StartTask) *wire.WorkerOrders {
+		return &wire.WorkerOrders{Sequence: sequence, Epoch: 1, Token: 1 << 8, Instance: "i-1", Born: 1, Granted: time.Hour, Starts: starts}
+	}
+	is.NoErr(conn.Send(orders(1)))
+	draining := standin.Announcement(2)
+	draining.State = wire.WorkerDraining
+	a.Announce(draining)
+	run := wire.TaskRun{Task: wire.TaskID{Job: "j"}, Run: 1}
+	is.NoErr(conn.Send(orders(2, wire.StartTask{Task: run.Task, Run: run.Run, Spec: "1m"})))
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		if r := s.last.Load(); r != nil && len(r.Refused) == 1 {
+			is.Equal(r.Refused[0], wire.RefusedRun{Task: run.Task, Run: run.Run, Reason: "worker_draining"})
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the scheduler is not told")
+		}
+	}
+	is.Equal(len(standin.Starts()), 0)
+}
