Try workers although all are ejected, and do not blame them for lasting work

Where every worker of a service has failed runs of two jobs, all were ejected for up to 30 s. Lasting tasks never end as done, so their failures added up until their workers were ejected for good. A task waited for its data's rack for its whole run time although most of the service was idle. Change: where no worker is sound, one that failed more than a second ago is tried; a lasting task that is at work clears its worker, and its own failure later says nothing of it; near workers are waited for 2 s at most while under half is in use.

--- a/core/job/fit.go
+++ b/core/job/fit.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"bramleythread/io/wire"
 )
 
 // farPatience is the share of a task's run time for which a stage waits for
@@ -42,7 +44,27 @@
 	if s.step.DataRack == "" && !s.step.SameRack {
 		return true
 	}
-	return now.Sub(s.ready) > time.Duration(farPatience*float64(e.runTime(s))) || !e.couldBeNear(s, now)
+	patience := time.Duration(farPatience * float64(e.runTime(s)))
+	if e.mostlyIdle(s.job.Service) {
+		patience = min(patience, idlePatience)
+	}
+	return now.Sub(s.ready) > patience || !e.couldBeNear(s, now)
+}
+
+// idlePatience bounds the wait for near workers while most of the service is
+// idle: callers take longer waits for a standstill.
+const idlePatience = 2 * time.Second
+
+// mostlyIdle reports whether less than half of a service's workers is in use, by
+// what they have least of.
+func (e *Engine) mostlyIdle(service string) bool {
+	var used, all wire.Resources
+	for _, w := range e.order {
+		if w.known && w.Service == service {
+			used, all = add(used, w.used), add(all, w.Capacity)
+		}
+	}
+	return 2*used.CPU < all.CPU && 2*used.Memory < all.Memory && (all.Accelerators == 0 || 2*used.Accelerators < all.Accelerators)
 }
 
 // couldBeNear reports whether the workers near the data, or those of one rack,
--- a/core/job/health.go
+++ b/core/job/health.go
@@ -1,6 +1,10 @@
 package job
 
-import "time"
+import (
+	"time"
+
+	"bramleythread/io/wire"
+)
 
 // Ejection of workers that fail what they are given.
 const (
@@ -8,6 +12,10 @@
 	ejectFor    = 3 * time.Second // before the first probe; half of the users' shortest disturbance
 	ejectLimit  = 30 * time.Second
 	refusedHold = 300 * time.Millisecond // no new work after a refusal; two reports of an agent
+
+	// lonelyHold is the time without new work after a failure where no worker
+	// of the service is sound: short against what callers take for a standstill.
+	lonelyHold = time.Second
 )
 
 // health is the failure record of one worker.
@@ -18,13 +26,14 @@
 	period  time.Duration
 	probing bool
 	pause   time.Time
+	failure time.Time // the newest one
 }
 
 func (h *health) failed(job string, now time.Time) {
 	if job != h.lastJob || h.probing {
 		h.row++
 	}
-	h.lastJob = job
+	h.lastJob, h.failure = job, now
 	if h.row >= ejectAfter || h.probing {
 		h.period = min(max(2*h.period, ejectFor), ejectLimit)
 		h.until = now.Add(h.period)
@@ -47,3 +56,20 @@
 		h.probing = true
 	}
 }
+
+// lonely reports whether the worker may be tried although it is ejected, since
+// no worker of its service is sound.
+func (h *health) lonely(now time.Time) bool {
+	return !now.Before(h.pause) && !h.probing && now.Sub(h.failure) >= lonelyHold
+}
+
+// findLonely notes the services of which no worker that wants work is sound.
+func (e *Engine) findLonely(now time.Time) {
+	clear(e.lonely)
+	for _, w := range e.order {
+		if w.known && w.State == wire.WorkerReady && now.Sub(w.heard) <= reportLimit {
+			sound, seen := e.lonely[w.Service]
+			e.lonely[w.Service] = (sound || !seen) && !w.health.usable(now)
+		}
+	}
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -180,6 +180,9 @@
 		r.worker.dirty = true
 	}
 	if t.Percent != r.percent {
+		if r.task.stage.step.LongRunning && t.Percent >= allPercent {
+			r.worker.health.succeeded() // it never ends as done
+		}
 		r.percent, r.progress, r.stalled = t.Percent, now, 0
 	} else if r.listed > 0 && r.worker.looked > r.listed {
 		r.stalled += min(r.worker.looked-r.listed, stallStep)
@@ -312,8 +315,10 @@
 		r.worker.health.succeeded()
 		e.done(t, now)
 	case how == wire.EndFailed:
-		r.worker.health.failed(j.ID, now)
-		t.avoid = r.worker
+		if !s.step.LongRunning || r.percent < allPercent { // else it has failed by itself
+			r.worker.health.failed(j.ID, now)
+			t.avoid = r.worker
+		}
 		e.failed(t, now)
 		if s.step.Gang && s.active > 0 {
 			e.stopRest(s)
