--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -344,59 +343,6 @@
 	is.True(!known) // what was refused is not there
 }
 
-// TestSameJobThroughTwoEntries submits each job at both entries at once, while
-// the answers of the store get lost.
-func TestSameJobThroughTwoEntries(t *testing.T) {
-	tests := map[string]func(s *system){
-		"on a calm day":               func(*system) {},
-		"while answers are lost":      func(s *system) { s.store.SetFaults(platform.Faults{LostReplies: 6}) },
-		"while the scheduler is away": func(s *system) { s.links[s.holder()].cut.Store(true) },
-	}
-	for name, disturb := range tests {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			s := newSystem(t, 2, 2)
-			s.submit("first", "", tasks(1))
-			s.waitState("first", wire.JobCompleted)
-			disturb(s)
-			ctx, cancel := context.WithTimeout(context.Background(), patience)
-			defer cancel()
-			var wg sync.WaitGroup
-			var failed atomic.Int64
-			for n := range 16 {
-				wg.Add(1)
-				go func() {
-					defer wg.Done()
-					j := wire.Job{
-						ID: fmt.Sprintf("j-%d", n/2), Queue: "q", Service: "podcheck", Attempts: 3, Stretch: 3,
-						Accepted: time.Now(), Steps: []wire.JobStep{tasks(2)},
-					}
-					if err := s.jobs(n%2).Submit(ctx, j); err != nil {
-						failed.Add(1)
-					}
-				}()
-			}
-			wg.Wait()
-			if name != "while the scheduler is away" { // its own entry may be turned away too
-				is.Equal(failed.Load(), int64(0))
-			}
-			for _, l := range s.links {
-				l.cut.Store(false)
-			}
-			for n := range 8 {
-				id := fmt.Sprintf("j-%d", n)
-				row, err := s.store.Store().Get(ctx, "job/"+id)
-				is.NoErr(err)
-				if row.Revision != 0 {
-					s.waitState(id, wire.JobCompleted)
-				}
-			}
-			s.starts()
-		})
-	}
-}
-
 // TestSystemPacesWorkThatFills runs work that fills beside work that serves: at
 // full speed it triples the latency, which may grow by half.
 func TestSystemPacesWorkThatFills(t *testing.T) {
@@ -417,28 +363,3 @@
 		return kept
 	}, func() string { return fmt.Sprintf("paces are %v", s.workers[0].Paces()) })
 }
-
-// TestEntryStoresAJobFirst lets the row of a job appear just before the
-// scheduler's own transaction would insert it.
-func TestEntryStoresAJobFirst(t *testing.T) {
-	is := is.New(t)
-	s := newSystem(t, 1, 1)
-	s.submit("first", "", tasks(1))
-	s.waitState("first", wire.JobCompleted)
-	var once sync.Once
-	before := func(t platform.Txn) {
-		for _, w := range t.Writes {
-			if w.Key == "job/j" {
-				once.Do(func() {
-					_, err := s.store.Store().Commit(context.Background(), platform.Txn{Writes: []platform.Write{w}})
-					is.NoErr(err)
-					time.Sleep(100 * time.Millisecond) // the scheduler's feed shows it
-				})
-			}
-		}
-	}
-	s.links[0].before.Store(&before)
-	s.submit("j", "", tasks(2))
-	s.waitState("j", wire.JobCompleted)
-	is.Equal(len(s.starts()), 3)
-}
