Tell a scheduler that the store turns away who has taken over

The scheduling entry was turned away by the store at 16.59 s and another took over at 17.05 s; the first could not learn it, went on as a scheduler that declines everything, and refused its callers' jobs (17.15 to 19.0 s) which came back until another entry took them, up to 2 s later. Ruled out: a slow take-over (0.06 s to load, agents linked within 0.25 s). Change: who takes over tells the former holder, whose link it has; that one stops at once, tells its agents and entries, and links to its successor without the store. Test: TestTurnedAwayEntryServesThroughItsSuccessor failed first (declined); TestLinkLeavesAFormerHolder, told by the former holder.

--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -42,7 +42,8 @@
 	mu      sync.Mutex
 	holder  *holder // while this process is the scheduler
 	told    renewal
-	offered uint64 // epoch whose holder has asked to be replaced
+	known   wire.SchedulerLease // of the successor, as it has told itself
+	offered uint64              // epoch whose holder has asked to be replaced
 	offers  chan struct{}
 
 	stop     context.CancelFunc
@@ -118,6 +119,10 @@
 
 // hear takes in a message of the scheduler.
 func (c *Candidate) hear(_ context.Context, _ *frame.Conn, m wire.Message) wire.Message {
+	if v, ok := m.(*wire.Taken); ok {
+		c.succeeded(v.Lease)
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch v := m.(type) {
@@ -189,6 +194,7 @@
 		seen.unread = time.Now() // the holder may have been as far from the store
 		seen.since = seen.unread
 		c.refuseOffer()
+		c.joinSuccessor(ctx)
 		_ = sleep(ctx, jitter(pollUnlinked))
 		return
 	}
@@ -218,6 +224,29 @@
 	c.waitLinked(ctx)
 }
 
+// succeeded notes who has taken the lease from this process.
+func (c *Candidate) succeeded(l wire.SchedulerLease) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l.Epoch > c.known.Epoch {
+		c.known = l
+	}
+}
+
+// joinSuccessor links to the process that has taken the lease from this one: the
+// store cannot be asked who it is.
+func (c *Candidate) joinSuccessor(ctx context.Context) {
+	c.mu.Lock()
+	lease := c.known
+	c.mu.Unlock()
+	if lease.Epoch == 0 || c.link.Conn() != nil {
+		return
+	}
+	if _, err := c.link.dial(ctx, lease); err != nil {
+		c.cfg.Log.Debug().Err(err).Msg("scheduler_not_reached")
+	}
+}
+
 // waitLinked waits until the lease is to be read again: soon if the link ends.
 func (c *Candidate) waitLinked(ctx context.Context) {
 	conn := c.link.Conn()
@@ -245,6 +274,9 @@
 	}
 	c.cfg.Log.Info().Uint64("epoch", w.lease.Epoch).Str("former", seen.lease.Holder).Bool("free", free).Dur("unchanged", unchanged(seen)).Msg("lease_taken")
 	if conn := c.link.Conn(); conn != nil {
+		if err := conn.Send(&wire.Taken{Lease: w.lease}); err != nil {
+			c.cfg.Log.Debug().Err(err).Msg("message_not_sent")
+		}
 		conn.Close()
 	}
 	h := newHolder(c.cfg, w)
@@ -259,6 +291,7 @@
 	if !errors.As(err, &deposed) {
 		h.giveUp()
 	}
+	c.succeeded(h.successor())
 	c.cfg.Log.Info().Uint64("epoch", w.lease.Epoch).Err(err).Msg("lease_ended")
 }
 
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -41,7 +41,9 @@
 	confirmAt time.Time
 	yielding  bool // another entry is asked to take over
 	closed    bool
-	waiting   []*submission // to be written by the next transactions
+	next      wire.SchedulerLease // of the process that has taken over; epoch 0 if none is known
+	replaced  context.CancelFunc  // ends the run
+	waiting   []*submission       // to be written by the next transactions
 	open      map[string]*submission
 	advising  sync.Mutex // the service takes one question of a machine at a time
 }
@@ -157,6 +159,9 @@
 func (h *holder) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	h.mu.Lock()
+	h.replaced = cancel
+	h.mu.Unlock()
 	h.wg.Add(1)
 	go h.follow(ctx)
 	t := time.NewTicker(tickInterval)
@@ -164,17 +169,49 @@
 	for {
 		select {
 		case <-ctx.Done():
+			if next := h.successor(); next.Epoch > 0 {
+				return &DeposedError{Holder: next.Holder, Epoch: next.Epoch}
+			}
 			return ctx.Err()
 		case <-t.C:
 		case <-h.wake:
 			_ = sleep(ctx, batchDelay)
 		}
-		if err := h.round(ctx); err != nil {
+		err := h.round(ctx)
+		if next := h.successor(); next.Epoch > 0 {
+			return &DeposedError{Holder: next.Holder, Epoch: next.Epoch}
+		}
+		if err != nil {
 			return err
 		}
 	}
 }
 
+// successor returns the lease of the process that has taken over, if it has said
+// so.
+func (h *holder) successor() wire.SchedulerLease {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.next
+}
+
+// depose ends this holder: another process holds the lease.
+func (h *holder) depose(l wire.SchedulerLease) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l.Epoch <= h.writer.lease.Epoch || l.Epoch <= h.next.Epoch {
+		return
+	}
+	h.cfg.Log.Info().Str("successor", l.Holder).Uint64("epoch", l.Epoch).Msg("lease_lost")
+	h.next = l
+	for c := range h.links {
+		h.tell(c, &wire.Taken{Lease: l})
+	}
+	if h.replaced != nil {
+		h.replaced()
+	}
+}
+
 // round runs one tick, writes what it decided and sends the orders.
 func (h *holder) round(ctx context.Context) error {
 	h.mu.Lock()
@@ -246,7 +283,12 @@
 // some time to end, since its outcome must be known to release the lease.
 func (h *holder) write(ctx context.Context, c changes) error {
 	start := time.Now()
-	ctx, cancel := lingering(ctx, releaseLimit)
+	ctx, cancel := lingering(ctx, func() time.Duration {
+		if h.successor().Epoch > 0 {
+			return 0 // what is under way can no longer be applied
+		}
+		return releaseLimit
+	})
 	defer cancel()
 	t := time.AfterFunc(yieldAfter, h.yield)
 	defer t.Stop()
@@ -260,10 +302,10 @@
 }
 
 // lingering returns a context that ends some time after its parent.
-func lingering(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+func lingering(parent context.Context, limit func() time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	stop := context.AfterFunc(parent, func() {
-		time.AfterFunc(limit, cancel)
+		time.AfterFunc(limit(), cancel)
 	})
 	return ctx, func() {
 		stop()
--- a/io/scheduler/link.go
+++ b/io/scheduler/link.go
@@ -37,7 +37,8 @@
 	cfg    LinkConfig
 	conn   chan *frame.Conn // holds the open connection, if there is one
 	lease  wire.SchedulerLease
-	offers chan struct{} // the scheduler asks to be replaced
+	offers chan struct{}            // the scheduler asks to be replaced
+	taken  chan wire.SchedulerLease // it tells who has replaced it
 }
 
 // LinkConfig sets up a link.
@@ -50,7 +51,7 @@
 
 // NewLink returns a link that is not connected.
 func NewLink(cfg LinkConfig) *Link {
-	return &Link{cfg: cfg, conn: make(chan *frame.Conn, 1), offers: make(chan struct{}, 1)}
+	return &Link{cfg: cfg, conn: make(chan *frame.Conn, 1), offers: make(chan struct{}, 1), taken: make(chan wire.SchedulerLease, 1)}
 }
 
 // Conn returns the open connection, or nil.
@@ -91,11 +92,17 @@
 }
 
 func (l *Link) handle(ctx context.Context, c *frame.Conn, m wire.Message) wire.Message {
-	if _, ok := m.(*wire.Yield); ok {
+	switch v := m.(type) {
+	case *wire.Yield:
 		select {
 		case l.offers <- struct{}{}:
 		default:
 		}
+	case *wire.Taken:
+		select {
+		case l.taken <- v.Lease:
+		default:
+		}
 	}
 	return l.cfg.Handle(ctx, c, m)
 }
@@ -216,6 +223,10 @@
 			return
 		case <-c.Done():
 			return
+		case next := <-l.taken:
+			if l.follow(next) {
+				return
+			}
 		case <-l.offers:
 			if l.replaced(ctx, c) {
 				return
@@ -224,6 +235,15 @@
 	}
 }
 
+// follow takes in a newer lease than the known one.
+func (l *Link) follow(next wire.SchedulerLease) bool {
+	if next.Epoch <= l.lease.Epoch {
+		return false
+	}
+	l.lease = next
+	return true
+}
+
 // replaced follows the lease until its holder has written it again, which
 // returns false, or has lost it.
 func (l *Link) replaced(ctx context.Context, c *frame.Conn) bool {
@@ -237,6 +257,10 @@
 			return true
 		case <-c.Done():
 			return true
+		case next := <-l.taken:
+			if l.follow(next) {
+				return true
+			}
 		case seen := <-leases:
 			switch {
 			case seen.Epoch > l.lease.Epoch || seen.Released:
--- a/io/scheduler/link_test.go
+++ b/io/scheduler/link_test.go
@@ -77,10 +77,12 @@
 	tests := map[string]struct {
 		delay time.Duration // of the store
 		offer bool          // the former holder has asked to be replaced
+		told  bool          // the former holder tells who has replaced it; the store is away
 	}{
 		"while the store answers at once":     {},
 		"while the store is slow":             {delay: 80 * time.Millisecond},
 		"after an offer of the former holder": {delay: 80 * time.Millisecond, offer: true},
+		"told by the former holder":           {told: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -106,7 +108,11 @@
 			former.turned.Store(true)
 			next.hold(t, standin.Store())
 			standin.SetFaults(platform.Faults{Delay: tt.delay})
-			if !tt.offer {
+			switch {
+			case tt.told:
+				standin.SetFaults(platform.Faults{Outage: true})
+				is.NoErr(c.Send(&wire.Taken{Lease: next.lease}))
+			case !tt.offer:
 				c.Close()
 			}
 			next.next(t)
--- a/io/scheduler/serve.go
+++ b/io/scheduler/serve.go
@@ -96,8 +96,12 @@
 
 // handle takes in one message.
 func (h *holder) handle(ctx context.Context, c *frame.Conn, m wire.Message) wire.Message {
-	if v, ok := m.(*wire.SubmitJob); ok {
+	switch v := m.(type) {
+	case *wire.SubmitJob:
 		return h.submit(ctx, v.Job)
+	case *wire.Taken:
+		h.depose(v.Lease)
+		return nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -365,3 +365,9 @@
 	Runs     int           `msg:"runs"`
 	Ejected  time.Duration `msg:"ejected"` // for which it still gets no work; 0 if it does
 }
+
+// Taken tells a former scheduler who has taken its lease. The store may be
+// turning it away, so that it would not learn it there.
+type Taken struct {
+	Lease SchedulerLease `msg:"lease"`
+}
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -2393,6 +2393,66 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Taken) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "lease"
+	o = append(o, 0x81, 0xa5, 0x6c, 0x65, 0x61, 0x73, 0x65)
+	o, err = z.Lease.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Lease")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Taken) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "lease":
+			bts, err = z.Lease.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lease")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Taken) Msgsize() (s int) {
+	s = 1 + 6 + z.Lease.Msgsize()
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskID) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/io/wire/kind.go
+++ b/io/wire/kind.go
@@ -47,6 +47,7 @@
 	KindExplainAnswer
 	KindStatusQuery
 	KindStatusAnswer
+	KindTaken
 )
 
 // Message is a message of the schema.
@@ -104,6 +105,7 @@
 	KindExplainAnswer: func() Message { return new(ExplainAnswer) },
 	KindStatusQuery:   func() Message { return new(StatusQuery) },
 	KindStatusAnswer:  func() Message { return new(StatusAnswer) },
+	KindTaken:         func() Message { return new(Taken) },
 }
 
 // Make returns an empty message of kind k.
@@ -222,3 +224,6 @@
 
 // Kind returns the kind of the message.
 func (*StatusAnswer) Kind() Kind { return KindStatusAnswer }
+
+// Kind returns the kind of the message.
+func (*Taken) Kind() Kind { return KindTaken }
--- a/io/worker/submit_test.go
+++ b/io/worker/submit_test.go
@@ -91,3 +91,28 @@
 	s.waitState("j", wire.JobCompleted)
 	is.Equal(len(s.starts()), 3)
 }
+
+// TestTurnedAwayEntryServesThroughItsSuccessor turns the scheduling entry away
+// from the store for good. Its callers are served by the one that takes over.
+func TestTurnedAwayEntryServesThroughItsSuccessor(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 2, 2)
+	s.submit("first", "", tasks(1))
+	s.waitState("first", wire.JobCompleted)
+	old := s.holder()
+	s.links[old].cut.Store(true)
+	s.wait(func() bool { return s.holder() != old }, func() string { return "nobody took over" })
+	var answer wire.Message
+	s.wait(func() bool {
+		var err error
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		answer, err = s.entries[old].Ask(ctx, &wire.SubmitJob{Job: wire.Job{
+			ID: "j", Queue: "q", Service: "podcheck", Attempts: 3, Stretch: 3, Accepted: time.Now(), Steps: []wire.JobStep{tasks(2)},
+		}})
+		a, ok := answer.(*wire.SubmitAnswer)
+		return err == nil && ok && a.Outcome != wire.SubmitDeclined
+	}, func() string { return fmt.Sprintf("the job is not taken in: %v", answer) })
+	is.Equal(answer.(*wire.SubmitAnswer).Outcome, wire.SubmitStored)
+	s.waitState("j", wire.JobCompleted)
+}
