Find out the outcome of a job by the scheduler's successor, and release before links end

At a planned stop links ended before the lease was released, so that the others read it too early and then waited for their next look. Change: while an outcome is not known an entry asks the scheduler and writes by itself in turn. The lease is released first, the entries are told, then links end. A new scheduler reads its two tables at once. Test: TestSubmissionOutlivesItsScheduler failed first (no outcome in 30 s).

--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -72,25 +72,36 @@
 
 // store writes a job's row, by the scheduler if one answers: the job then stands
 // in one transaction with its first runs. known tells that it was there already.
+// While an outcome is not known it goes on with the scheduler and by itself in
+// turn, since another process may be the scheduler by then.
 func (s *Jobs) store(ctx context.Context, j wire.Job) (known bool, err error) {
-	outcome := s.offer(ctx, j)
-	switch outcome {
-	case wire.SubmitStored, wire.SubmitKnown:
-		return outcome == wire.SubmitKnown, nil
-	case wire.SubmitDeclined:
-		if err := s.available(ctx); err != nil {
-			return false, err
-		}
-	}
 	value, err := j.MarshalMsg(nil)
 	if err != nil {
 		return false, err
 	}
 	key := scheduler.TableJob + "/" + j.ID
-	return s.write(ctx, platform.Txn{
+	w := insert{store: s.Store, start: time.Now(), txn: platform.Txn{
 		Conditions: []platform.Condition{{Key: key}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
-	}, outcome == wire.SubmitUnknown)
+	}}
+	for {
+		switch s.offer(ctx, j) {
+		case wire.SubmitStored:
+			return false, nil
+		case wire.SubmitKnown:
+			return true, nil
+		case wire.SubmitUnknown:
+			w.maybe = true
+		}
+		if !w.maybe {
+			if err := s.available(ctx); err != nil {
+				return false, err
+			}
+		}
+		if done, known, err := w.try(ctx); done {
+			return known, err
+		}
+	}
 }
 
 // offer asks the scheduler to store a job.
@@ -144,35 +155,49 @@
 	return &NotAcceptedError{Reason: "store_unavailable", Retry: min(max(since, busyRetry), maxRetry)}
 }
 
-// write applies a transaction that inserts one row. known tells that the row
-// was there already. It tries until the context ends, since a try without an
-// answer may be applied later: only a further try can tell. maybe tells that
-// somebody else may be writing the row too.
-func (s *Jobs) write(ctx context.Context, t platform.Txn, maybe bool) (known bool, err error) {
-	start := time.Now()
+// insert is a transaction that inserts one row.
+type insert struct {
+	store platform.Store
+	txn   platform.Txn
+	start time.Time
+	maybe bool // somebody may have written the row, or may do so later
+}
+
+// try makes one try, and reports whether the outcome is known or time is up. A
+// try without an answer may be applied later: only a further try can tell. known
+// tells that the row was there already.
+func (w *insert) try(ctx context.Context) (done, known bool, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTry)
+	_, err = w.store.Commit(callCtx, w.txn)
+	cancel()
+	var conflict *platform.ConflictError
+	var unavailable *platform.UnavailableError
+	switch {
+	case err == nil:
+		return true, false, nil
+	case errors.As(err, &conflict):
+		return true, true, nil
+	case !errors.As(err, &unavailable):
+		return true, false, &UnknownError{Cause: err}
+	}
+	w.maybe = w.maybe || unavailable.MaybeApplied
+	if ctx.Err() == nil && (w.maybe || time.Since(w.start) <= refuseAfter) && sleepUntil(ctx, tryPause) {
+		return false, false, nil
+	}
+	if w.maybe {
+		return true, false, &UnknownError{Cause: err}
+	}
+	return true, false, &NotAcceptedError{Reason: "store_unavailable", Retry: busyRetry}
+}
+
+// write inserts one row. known tells that it was there already.
+func (s *Jobs) write(ctx context.Context, t platform.Txn) (known bool, err error) {
+	w := insert{store: s.Store, start: time.Now(), txn: t}
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, storeTry)
-		_, err = s.Store.Commit(callCtx, t)
-		cancel()
-		var conflict *platform.ConflictError
-		var unavailable *platform.UnavailableError
-		switch {
-		case err == nil:
-			return false, nil
-		case errors.As(err, &conflict):
-			return true, nil
-		case !errors.As(err, &unavailable):
-			return false, &UnknownError{Cause: err}
-		}
-		maybe = maybe || unavailable.MaybeApplied
-		if ctx.Err() != nil || !maybe && time.Since(start) > refuseAfter || !sleepUntil(ctx, tryPause) {
-			break
+		if done, known, err := w.try(ctx); done {
+			return known, err
 		}
 	}
-	if maybe {
-		return false, &UnknownError{Cause: err}
-	}
-	return false, &NotAcceptedError{Reason: "store_unavailable", Retry: busyRetry}
 }
 
 // sleepUntil sleeps, and reports whether there is time for another try.
@@ -254,7 +279,7 @@
 		_, err = s.write(ctx, platform.Txn{
 			Conditions: []platform.Condition{{Key: key}},
 			Writes:     []platform.Write{{Key: key, Value: []byte{1}}},
-		}, false)
+		})
 	}
 	s.Log.Info().Str("job", id).Str("state", string(state)).Err(err).Msg("cancel")
 	return err == nil, err
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -286,11 +286,12 @@
 		err = h.run(ctx)
 		c.set(nil)
 	}
-	h.close()
+	h.retire()
 	var deposed *DeposedError
 	if !errors.As(err, &deposed) {
 		h.giveUp()
 	}
+	h.close()
 	c.succeeded(h.successor())
 	c.cfg.Log.Info().Uint64("epoch", w.lease.Epoch).Err(err).Msg("lease_ended")
 }
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -69,8 +69,18 @@
 
 // load reads what earlier schedulers have recorded.
 func (h *holder) load(ctx context.Context) error {
-	progress, err := h.list(ctx, TableProgress)
-	if err != nil {
+	// Nobody but the holder of the lease writes progress, so that both tables may
+	// be read at once.
+	var progress platform.Changes
+	var progressErr error
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		progress, progressErr = h.list(ctx, TableProgress)
+	}()
+	jobs, err := h.list(ctx, TableJob)
+	<-read
+	if err := errors.Join(err, progressErr); err != nil {
 		return err
 	}
 	states := make(map[string]*wire.JobProgress)
@@ -82,10 +92,6 @@
 		}
 		states[strings.TrimPrefix(row.Key, TableProgress+"/")] = p
 	}
-	jobs, err := h.list(ctx, TableJob)
-	if err != nil {
-		return err
-	}
 	h.takeJobs(jobs, states)
 	h.cfg.Log.Info().Uint64("epoch", h.writer.lease.Epoch).Int("rows", len(jobs.Rows)).Int("progress", len(progress.Rows)).Msg("tables_loaded")
 	return nil
@@ -378,23 +384,32 @@
 	return time.Since(h.confirmAt) <= ConfirmLimit
 }
 
-func (h *holder) close() {
+// retire takes in no more jobs. Links stay open until the lease is released.
+func (h *holder) retire() {
 	h.mu.Lock()
 	h.closed = true
 	waiting := h.waiting
 	h.waiting = nil
 	h.mu.Unlock()
 	h.settle(waiting, wire.SubmitDeclined) // none of them was written
+}
+
+func (h *holder) close() {
 	h.dropLinks()
 	h.wg.Wait()
 }
 
-// giveUp releases the lease, so that another process takes it at once.
+// giveUp releases the lease and says so, so that another process takes it at
+// once.
 func (h *holder) giveUp() {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseLimit)
 	defer cancel()
 	h.writer.lease.Released = true
 	if err := h.writer.write(ctx, changes{}); err != nil {
 		h.cfg.Log.Warn().Err(err).Msg("lease_not_released")
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tellEntries(&wire.Yield{Epoch: h.writer.lease.Epoch})
 }
--- a/io/worker/submit_test.go
+++ b/io/worker/submit_test.go
@@ -116,3 +116,24 @@
 	is.Equal(answer.(*wire.SubmitAnswer).Outcome, wire.SubmitStored)
 	s.waitState("j", wire.JobCompleted)
 }
+
+// TestSubmissionOutlivesItsScheduler silences the store for the scheduling entry
+// while it writes a job. The entry finds out the outcome by its successor.
+func TestSubmissionOutlivesItsScheduler(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 2, 2)
+	s.submit("first", "", tasks(1))
+	s.waitState("first", wire.JobCompleted)
+	old := s.holder()
+	s.links[old].silent.Store(true)
+	jobs := s.jobs(old)
+	jobs.Store = s.links[old].Store()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	is.NoErr(jobs.Submit(ctx, wire.Job{
+		ID: "j", Queue: "q", Service: "podcheck", Attempts: 3, Stretch: 3, Accepted: time.Now(), Steps: []wire.JobStep{tasks(2)},
+	}))
+	is.True(s.holder() != old)
+	s.waitState("j", wire.JobCompleted)
+	is.Equal(len(s.starts()), 3)
+}
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -27,26 +27,32 @@
 // link is a process's way to the store, which can be cut.
 type link struct {
 	store  platform.Store
-	cut    atomic.Bool
+	cut    atomic.Bool                          // calls are refused
+	silent atomic.Bool                          // calls get no answer
 	before atomic.Pointer[func(t platform.Txn)] // called before a commit
 }
 
 func (l *link) Store() platform.Store {
 	s := l.store
-	refuse := func() error {
-		if l.cut.Load() {
+	refuse := func(ctx context.Context) error {
+		switch {
+		case l.cut.Load():
 			return &platform.UnavailableError{Op: "cut"}
+		case l.silent.Load():
+			<-ctx.Done()
+			return &platform.UnavailableError{Op: "silent", MaybeApplied: true, Cause: ctx.Err()}
+		default:
+			return nil
 		}
-		return nil
 	}
 	s.Get = func(ctx context.Context, key string) (platform.Row, error) {
-		if err := refuse(); err != nil {
+		if err := refuse(ctx); err != nil {
 			return platform.Row{}, err
 		}
 		return l.store.Get(ctx, key)
 	}
 	s.Commit = func(ctx context.Context, t platform.Txn) (uint64, error) {
-		if err := refuse(); err != nil {
+		if err := refuse(ctx); err != nil {
 			return 0, err
 		}
 		if before := l.before.Load(); before != nil {
@@ -55,7 +61,7 @@
 		return l.store.Commit(ctx, t)
 	}
 	s.Watch = func(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
-		if err := refuse(); err != nil {
+		if err := refuse(ctx); err != nil {
 			return platform.Changes{}, err
 		}
 		return l.store.Watch(ctx, table, after, wait)
