Let patience follow what the store has taken

Cause: while the store is slow a hundred times a transaction takes 0.7 to 1.3 s, and they queue. Ruled out: a lost leader, slow loads. Change: jobs are given back after twice what the newest transaction took (0.5 to 1.2 s), the lease is offered after three times that (1.3 to 2.5 s). Test: TestPatienceFollowsTheStore.

--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -16,16 +16,16 @@
 
 // Times of calls on a caller's behalf.
 const (
-	storeTry    = 900 * time.Millisecond // one try of a write, several answers of a slow store
-	tryPause    = 60 * time.Millisecond  // between tries
-	queryLimit  = 400 * time.Millisecond // for the scheduler's answer, several round trips between zones
-	refuseAfter = 300 * time.Millisecond // of tries that the store has turned away
-	busyRetry   = time.Second            // when the store turns a write away
-	trustAnswer = 200 * time.Millisecond // age of an answer that shows that the store is there
-	lookLimit   = 800 * time.Millisecond // for the answer of a store that is slow 100 times
-	maxRetry    = 4 * time.Second        // a longer wait leaves callers too few tries
-	answerSlack = 100 * time.Millisecond // kept of the caller's deadline for the answer's way back
-	offerLimit  = 900 * time.Millisecond // for the scheduler to store a job, two answers of a slow store
+	storeTry    = 900 * time.Millisecond  // one try of a write, several answers of a slow store
+	tryPause    = 60 * time.Millisecond   // between tries
+	queryLimit  = 400 * time.Millisecond  // for the scheduler's answer, several round trips between zones
+	refuseAfter = 300 * time.Millisecond  // of tries that the store has turned away
+	busyRetry   = time.Second             // when the store turns a write away
+	trustAnswer = 200 * time.Millisecond  // age of an answer that shows that the store is there
+	lookLimit   = 800 * time.Millisecond  // for the answer of a store that is slow 100 times
+	maxRetry    = 4 * time.Second         // a longer wait leaves callers too few tries
+	answerSlack = 100 * time.Millisecond  // kept of the caller's deadline for the answer's way back
+	offerLimit  = 1400 * time.Millisecond // for the scheduler to store a job, two transactions of a slow store
 )
 
 // probeKey is a row that is read to see whether the store answers.
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -41,6 +41,7 @@
 	confirmAt time.Time
 	yielding  bool // another entry is asked to take over
 	closed    bool
+	took      time.Duration       // of the newest transaction that was written
 	next      wire.SchedulerLease // of the process that has taken over; epoch 0 if none is known
 	replaced  context.CancelFunc  // ends the run
 	waiting   []*submission       // to be written by the next transactions
@@ -296,9 +297,14 @@
 		return releaseLimit
 	})
 	defer cancel()
-	t := time.AfterFunc(yieldAfter, h.yield)
+	t := time.AfterFunc(h.expect(3, yieldAfter, yieldLimit), h.yield)
 	defer t.Stop()
 	err := h.writer.write(ctx, c)
+	if err == nil {
+		h.mu.Lock()
+		h.took = time.Since(start)
+		h.mu.Unlock()
+	}
 	n := len(c.writes) + len(c.inserts)
 	h.cfg.Metrics.observeCommit(time.Since(start), n, err)
 	if took := time.Since(start); took > commitTimeout {
@@ -307,6 +313,14 @@
 	return err
 }
 
+// expect returns how long to wait for a transaction: so many times what the one
+// before has taken, within bounds.
+func (h *holder) expect(times int, least, most time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return min(max(time.Duration(times)*h.took, least), most)
+}
+
 // lingering returns a context that ends some time after its parent.
 func lingering(parent context.Context, limit func() time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -38,18 +38,22 @@
 	retryMin      = 50 * time.Millisecond   // after a refused transaction
 	retryMax      = 200 * time.Millisecond
 
-	// yieldAfter is the time without a written transaction after which the
-	// holder asks another entry to take over, if it gets no answer at all: a
-	// store that is slow a hundred times answers within it.
+	// yieldAfter and yieldLimit bound the time without a written transaction
+	// after which the holder asks another entry to take over, if it gets no
+	// answer at all: three times what the one before has taken. Transactions
+	// of a store that is slow a hundred times take up to a second.
 	yieldAfter = 1300 * time.Millisecond
+	yieldLimit = 2500 * time.Millisecond
 
 	// yieldRefused is the same, if the store turns the holder away.
 	yieldRefused = 250 * time.Millisecond
 
-	// declineAfter is the time after which a job that could not be written is
-	// given back to its entry, whose own way to the store may be open: more than
-	// one answer of a store that is slow a hundred times.
+	// declineAfter and declineLimit bound the time after which a job that could
+	// not be written is given back to its entry, whose own way to the store may
+	// be open: twice what the transaction before has taken. Jobs that are given
+	// back cost a slow store a transaction each.
 	declineAfter = 500 * time.Millisecond
+	declineLimit = 1200 * time.Millisecond
 
 	// ConfirmLimit is the age of the last written lease up to which the
 	// holder grants agents the right to renew their workers' leases.
--- a/io/scheduler/lease_test.go
+++ b/io/scheduler/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"bramleythread/io/platform"
 	"bramleythread/io/wire"
@@ -178,3 +179,26 @@
 		})
 	}
 }
+
+// TestPatienceFollowsTheStore bounds the waits of the holder by what its newest
+// transaction has taken: a slow store is no reason to give jobs or the lease away.
+func TestPatienceFollowsTheStore(t *testing.T) {
+	tests := map[string]struct {
+		took    time.Duration
+		decline time.Duration
+		yield   time.Duration
+	}{
+		"nothing written yet":      {decline: declineAfter, yield: yieldAfter},
+		"a store at its usual":     {took: 12 * time.Millisecond, decline: declineAfter, yield: yieldAfter},
+		"slow a hundred times":     {took: 700 * time.Millisecond, decline: declineLimit, yield: 2100 * time.Millisecond},
+		"an outage has just ended": {took: 9 * time.Second, decline: declineLimit, yield: yieldLimit},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := &holder{took: tt.took}
+			is.Equal(h.expect(2, declineAfter, declineLimit), tt.decline)
+			is.Equal(h.expect(3, yieldAfter, yieldLimit), tt.yield)
+		})
+	}
+}
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -45,6 +45,7 @@
 // scheduler is not sure that it can write soon.
 func (h *holder) enqueue(j wire.Job) *submission {
 	row, err := j.MarshalMsg(nil)
+	patience := h.expect(2, declineAfter, declineLimit)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil || h.closed || h.yielding || time.Since(h.confirmAt) > freshConfirm {
@@ -62,14 +63,14 @@
 	}
 	h.open[j.ID] = s
 	h.waiting = append(h.waiting, s)
-	time.AfterFunc(declineAfter, func() { h.giveBack(s) })
+	time.AfterFunc(patience, func() { h.giveBack(s) })
 	h.poke()
 	return s
 }
 
 // freshConfirm is the age of the last written lease up to which jobs are taken
-// in: two renewals, one of them slow.
-const freshConfirm = 1200 * time.Millisecond
+// in: two renewals of a store that is slow a hundred times.
+const freshConfirm = 2 * time.Second
 
 // giveBack declines a job that has not been taken into a transaction: its entry
 // may have another way to the store.
