--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -266,6 +266,8 @@
 		switch {
 		case p != nil:
 			p.stop = true
+		case a.hasEnded(r):
+			// the report says so; it can't start again
 		case a.refused[r] == "":
 			a.order(r, &pending{stop: true, reason: "stopped"}, wire.StartTask{Task: r.Task, Run: r.Run})
 		}
--- a/io/worker/link_test.go
+++ b/io/worker/link_test.go
@@ -177,3 +177,42 @@
 	}
 	is.Equal(len(standin.Starts()), 0)
 }
+
+// TestEndedRunsAreNotStopped orders the stop of a run whose end crosses it.
+func TestEndedRunsAreNotStopped(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStandin().Store()
+	s := newSilentScheduler(t, store)
+	ended := wire.TaskRun{Task: wire.TaskID{Job: "ended"}, Run: 1}
+	runs := wire.TaskRun{Task: wire.TaskID{Job: "runs"}, Run: 1}
+	stops := make(chan wire.TaskRun, 1000)
+	w := worker.Worker{
+		Hold: func(context.Context, worker.HoldOrder) (worker.HoldReply, error) {
+			time.Sleep(5 * time.Millisecond)
+			return worker.HoldReply{
+				Running: []wire.RunningTask{{Task: runs.Task, Run: runs.Run}},
+				Ended:   []wire.EndedRun{{Number: 1, Task: ended.Task, Run: ended.Run, How: wire.EndDone}},
+			}, nil
+		},
+		Stop: func(_ context.Context, o worker.StopOrder) error {
+			stops <- o.TaskRun
+			return nil
+		},
+	}
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: store, Worker: w, Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+	})
+	a.Announce(worker.Announcement{WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}, Sequence: 1, Clock: time.Second})
+	conn := <-s.conns
+	is.NoErr(conn.Send(&wire.WorkerOrders{
+		Sequence: 1, Epoch: 1, Token: 1 << 8, Instance: "i-1", Born: 1, Stops: []wire.TaskRun{ended, runs},
+	}))
+	select {
+	case r := <-stops:
+		is.Equal(r, runs)
+	case <-time.After(patience):
+		t.Fatal("nothing is stopped")
+	}
+	a.Close()
+	is.Equal(len(stops), 0)
+}
