--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -200,13 +200,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.conn != c { // its first orders may have come before
-		a.begin(c)
+		a.relink(c)
 	}
 }
 
-// begin forgets what an earlier connection has ordered. Until the first orders
+// relink forgets what an earlier connection has ordered. Until the first orders
 // of the new one, with its token, the worker may still carry out older ones.
-func (a *Agent) begin(c *frame.Conn) {
+func (a *Agent) relink(c *frame.Conn) {
 	a.conn, a.ordered = c, false
 	a.orders = wire.WorkerOrders{Token: a.orders.Token, Granted: a.orders.Granted}
 	a.seen = false
@@ -225,7 +225,7 @@
 		return nil
 	}
 	if c != a.conn {
-		a.begin(c)
+		a.relink(c)
 	}
 	first := !a.ordered
 	o.Granted = max(o.Granted, a.orders.Granted)
@@ -247,30 +247,15 @@
 	if !a.seen || o.Instance != a.info.Instance || o.Born != a.info.Born {
 		return
 	}
-	listed := make(map[wire.TaskRun]bool, len(o.Starts))
+	listed := make(map[wire.TaskRun]bool, len(o.Starts)+len(o.Stops))
 	for _, s := range o.Starts {
 		r := wire.TaskRun{Task: s.Task, Run: s.Run}
 		listed[r] = true
-		if _, there := a.running[r]; there || a.pending[r] != nil || a.refused[r] != "" || a.hasEnded(r) {
-			continue
-		}
-		if a.info.State != wire.WorkerReady {
-			a.order(r, &pending{stop: true, reason: "worker_" + string(a.info.State)}, s)
-			continue
-		}
-		a.order(r, &pending{}, s)
+		a.obeyStart(r, s)
 	}
 	for _, r := range o.Stops {
 		listed[r] = true
-		p := a.pending[r]
-		switch {
-		case p != nil:
-			p.stop = true
-		case a.hasEnded(r):
-			// the report says so; it can't start again
-		case a.refused[r] == "":
-			a.order(r, &pending{stop: true, reason: "stopped"}, wire.StartTask{Task: r.Task, Run: r.Run})
-		}
+		a.obeyStop(r)
 	}
 	for r := range a.refused {
 		if !listed[r] {
@@ -279,6 +264,29 @@
 	}
 }
 
+func (a *Agent) obeyStart(r wire.TaskRun, s wire.StartTask) {
+	if _, there := a.running[r]; there || a.pending[r] != nil || a.refused[r] != "" || a.hasEnded(r) {
+		return
+	}
+	if a.info.State != wire.WorkerReady {
+		a.order(r, &pending{stop: true, reason: "worker_" + string(a.info.State)}, s)
+		return
+	}
+	a.order(r, &pending{}, s)
+}
+
+func (a *Agent) obeyStop(r wire.TaskRun) {
+	p := a.pending[r]
+	switch {
+	case p != nil:
+		p.stop = true
+	case a.hasEnded(r):
+		// the report says so; it can't start again
+	case a.refused[r] == "":
+		a.order(r, &pending{stop: true, reason: "stopped"}, wire.StartTask{Task: r.Task, Run: r.Run})
+	}
+}
+
 func (a *Agent) order(r wire.TaskRun, p *pending, s wire.StartTask) {
 	a.pending[r] = p
 	a.wg.Add(1)
