--- a/core/emulate/machine.go
+++ b/core/emulate/machine.go
@@ -35,7 +35,7 @@
 	done    float64 // share of the work, as of at
 	at      time.Duration
 	rate    float64 // share of the work in a second
-	version int     // of its end in the agenda
+	version int     // of its end in the eventQueue
 	began   time.Duration
 	stops   bool
 }
@@ -236,8 +236,8 @@
 	m.w.after(reportInterval, m.reportForever)
 }
 
-// strike harms a machine for a time.
-func (m *machine) strike(kind FaultKind, d time.Duration) {
+// inject harms a machine for a time.
+func (m *machine) inject(kind FaultKind, d time.Duration) {
 	switch kind {
 	case FaultHang:
 		m.hang = true
--- a/core/emulate/world.go
+++ b/core/emulate/world.go
@@ -32,15 +32,15 @@
 	do  func()
 }
 
-type agenda []event
+type eventQueue []event
 
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
+func (a eventQueue) Len() int { return len(a) }
+func (a eventQueue) Less(i, j int) bool {
 	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
 }
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
-func (a *agenda) Pop() any {
+func (a eventQueue) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *eventQueue) Push(x any)   { *a = append(*a, x.(event)) }
+func (a *eventQueue) Pop() any {
 	old := *a
 	e := old[len(old)-1]
 	*a = old[:len(old)-1]
@@ -52,7 +52,7 @@
 	s        *Scenario
 	now      time.Duration
 	seq      int
-	agenda   agenda
+	events   eventQueue
 	engine   *job.Engine
 	requests map[string]*request
 	workers  []*machine
@@ -83,7 +83,7 @@
 // after lets something happen some time from now.
 func (w *world) after(d time.Duration, do func()) {
 	w.seq++
-	heap.Push(&w.agenda, event{at: w.now + d, seq: w.seq, do: do})
+	heap.Push(&w.events, event{at: w.now + d, seq: w.seq, do: do})
 }
 
 // play plays all requests to their end.
@@ -95,15 +95,15 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	for _, f := range w.s.Faults {
 		for _, i := range random.Perm(len(w.workers))[:min(f.Count, len(w.workers))] {
-			w.after(f.At, func() { w.workers[i].strike(f.Kind, f.For) })
+			w.after(f.At, func() { w.workers[i].inject(f.Kind, f.For) })
 		}
 	}
 	for i, m := range w.workers {
 		w.after(reportInterval*time.Duration(i)/time.Duration(len(w.workers)), m.reportForever)
 	}
 	w.after(0, w.tick)
-	for end := w.s.Length + settleTime; len(w.agenda) > 0; {
-		e := heap.Pop(&w.agenda).(event)
+	for end := w.s.Length + settleTime; len(w.events) > 0; {
+		e := heap.Pop(&w.events).(event)
 		if e.at > end {
 			return
 		}
--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -50,7 +50,7 @@
 	dirty        []*Job
 	expired      []*Job // whose rows are to be deleted
 	learned      map[string]*runTimes
-	lonely       map[string]bool         // services of which no worker is sound
+	unsound      map[string]bool         // services of which no worker is sound
 	holding      map[*stage]struct{}     // stages that hold room for themselves
 	reserved     map[*stage]*reservation // room that later stages of this tick leave free
 	reservations int                     // of this tick
@@ -66,7 +66,7 @@
 		workers:    make(map[string]*Worker),
 		guaranteed: make(map[string]int),
 		learned:    make(map[string]*runTimes),
-		lonely:     make(map[string]bool),
+		unsound:    make(map[string]bool),
 		holding:    make(map[*stage]struct{}),
 		reserved:   make(map[*stage]*reservation),
 		since:      now,
--- a/core/job/health.go
+++ b/core/job/health.go
@@ -13,9 +13,9 @@
 	ejectLimit  = 30 * time.Second
 	refusedHold = 300 * time.Millisecond // no new work after a refusal; two reports of an agent
 
-	// lonelyHold is the time without new work after a failure where no worker
+	// lastResortHold is the time without new work after a failure where no worker
 	// of the service is sound: short against what callers take for a standstill.
-	lonelyHold = time.Second
+	lastResortHold = time.Second
 )
 
 // health is the failure record of one worker.
@@ -57,19 +57,19 @@
 	}
 }
 
-// lonely reports whether the worker may be tried although it is ejected, since
+// lastResort reports whether the worker may be tried although it is ejected, since
 // no worker of its service is sound.
-func (h *health) lonely(now time.Time) bool {
-	return !now.Before(h.pause) && !h.probing && now.Sub(h.failure) >= lonelyHold
+func (h *health) lastResort(now time.Time) bool {
+	return !now.Before(h.pause) && !h.probing && now.Sub(h.failure) >= lastResortHold
 }
 
-// findLonely notes the services of which no worker that wants work is sound.
-func (e *Engine) findLonely(now time.Time) {
-	clear(e.lonely)
+// findUnsound notes the services of which no worker that wants work is sound.
+func (e *Engine) findUnsound(now time.Time) {
+	clear(e.unsound)
 	for _, w := range e.order {
 		if w.known && w.State == wire.WorkerReady && now.Sub(w.heard) <= reportLimit {
-			sound, seen := e.lonely[w.Service]
-			e.lonely[w.Service] = (sound || !seen) && !w.health.usable(now)
+			sound, seen := e.unsound[w.Service]
+			e.unsound[w.Service] = (sound || !seen) && !w.health.usable(now)
 		}
 	}
 }
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -17,7 +17,7 @@
 func (e *Engine) Tick(now time.Time) {
 	e.expireWorkers(now)
 	e.openDue(now)
-	e.findLonely(now)
+	e.findUnsound(now)
 	queue := e.queue(now)
 	clear(e.reserved)
 	e.reservations = 0
@@ -185,7 +185,7 @@
 // suitable is eligible without regard to advice.
 func (e *Engine) suitable(w *Worker, s *stage, now time.Time) bool {
 	return w.known && w.State == wire.WorkerReady && now.Sub(w.heard) <= reportLimit &&
-		w.Service == s.job.Service && (w.health.usable(now) || e.lonely[w.Service] && w.health.lonely(now) || e.cfg.Policy.NoEjection) &&
+		w.Service == s.job.Service && (w.health.usable(now) || e.unsound[w.Service] && w.health.lastResort(now) || e.cfg.Policy.NoEjection) &&
 		(s.step.Label == "" || slices.Contains(w.Labels, s.step.Label))
 }
 
