Reclaim a guarantee from urgent work beyond another one

Ruled out: a late scheduler (none changed), the configuration (guarantees stayed). Change: urgent work of another customer whose open urgent work needs more than its guarantee may be stopped too; it counts four times, so that it comes last. Test: TestGuaranteeStopsUrgentWorkBeyondAnother failed first.

--- a/core/job/place_test.go
+++ b/core/job/place_test.go
@@ -94,6 +94,40 @@
 	}
 }
 
+// TestGuaranteeStopsUrgentWorkBeyondAnother fills the pool with urgent work of a
+// customer that is guaranteed a part of it only.
+func TestGuaranteeStopsUrgentWorkBeyondAnother(t *testing.T) {
+	tests := map[string]struct {
+		others  int // accelerators that the other customer is guaranteed
+		stopped int
+	}{
+		"beyond its guarantee": {others: 8, stopped: 1},
+		"within its guarantee": {others: 24, stopped: 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t)
+			f.workers(3)
+			f.e.SetGuarantees(map[string]int{"c": 8, "other": tt.others})
+			borrowed := f.job("borrowed", 0, step(3, 8))
+			borrowed.Customer, borrowed.Stretch = "other", 100
+			f.e.Submit(borrowed, f.now)
+			f.tick()
+			f.workers(3)
+			f.e.Submit(f.job("own", 0, step(1, 8)), f.now)
+			f.tick()
+			stopped := 0
+			for _, r := range f.runs("borrowed") {
+				if r.phase == stopping {
+					stopped++
+				}
+			}
+			is.Equal(stopped, tt.stopped)
+		})
+	}
+}
+
 func TestLargeWorkIsNotStarvedBySmall(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t)
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -186,6 +186,11 @@
 	return c
 }
 
+// borrowedWeight is how much more the loss of urgent work counts, beyond its
+// customer's guarantee, than that of other work: it is stopped for others'
+// guarantees too, but last. The users value urgent work up to four times as high.
+const borrowedWeight = 4
+
 // evict returns the runs to stop on a worker so that it has room for d.
 func (e *Engine) evict(w *Worker, s *stage, d wire.Resources, stoppable func(*run) bool, now time.Time) ([]*run, float64, bool) {
 	free := e.free(w, s, now)
@@ -195,9 +200,17 @@
 			free = add(free, demand(r.task.stage.step)) // gone soon
 			continue
 		}
-		if r.task.stage.job.Priority > s.job.Priority && stoppable(r) && mayMiss([]*run{r}) {
-			victims = append(victims, victim{r: r, lost: e.lost(r, now)})
+		lost := e.lost(r, now)
+		switch j := r.task.stage.job; {
+		case !stoppable(r) || !mayMiss([]*run{r}):
+			continue
+		case j.Priority > s.job.Priority:
+		case j.Customer != s.job.Customer && e.guarantee(s.job) && !e.guarantee(j):
+			lost *= borrowedWeight
+		default:
+			continue
 		}
+		victims = append(victims, victim{r: r, lost: lost})
 	}
 	slices.SortFunc(victims, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.lost, b.lost), cmp.Compare(a.r.task.id().Job, b.r.task.id().Job), cmp.Compare(a.r.task.index, b.r.task.index))
