--- a/core/job/commit.go
+++ b/core/job/commit.go
@@ -9,6 +9,10 @@
 const (
 	maxBatchRows  = 80
 	maxBatchBytes = 500 << 10 // before encoding
+
+	// rowsPerExpiredJob counts the rows to delete for an expired job: its own, its
+	// progress and its cancellation.
+	rowsPerExpiredJob = 3
 )
 
 // Batch is a set of changes to write in one transaction.
@@ -45,7 +49,7 @@
 		b.Progress = append(b.Progress, Change{ID: j.ID, Progress: p, job: j, version: j.version})
 	}
 	e.dirty = append([]*Job(nil), e.dirty[n:]...)
-	for len(e.expired) > 0 && n+2*len(b.Expired) < maxBatchRows {
+	for len(e.expired) > 0 && n+rowsPerExpiredJob*(len(b.Expired)+1) <= maxBatchRows {
 		b.Expired = append(b.Expired, e.expired[0].ID)
 		e.expired = e.expired[1:]
 	}
