--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -132,7 +132,7 @@
 // job's steps; those tasks start over.
 func (e *Engine) restoreStage(j *Job, sp wire.StageProgress, workers []wire.WorkerRef, now time.Time) {
 	key := stageKey{sp.Occurrence, sp.Step}
-	if sp.Step >= len(j.Steps) || len(sp.Tasks) > 0 && len(sp.Tasks) != j.Steps[sp.Step].Count {
+	if sp.Step < 0 || sp.Step >= len(j.Steps) || len(sp.Tasks) > 0 && len(sp.Tasks) != j.Steps[sp.Step].Count {
 		return
 	}
 	s := j.stages[key]
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -271,7 +271,7 @@
 
 // demandOf returns the demand of a task, or none if its job is unknown.
 func (e *Engine) demandOf(id wire.TaskID) wire.Resources {
-	if j, ok := e.jobs[id.Job]; ok && id.Step < len(j.Steps) {
+	if j, ok := e.jobs[id.Job]; ok && id.Step >= 0 && id.Step < len(j.Steps) {
 		return demand(&j.Steps[id.Step])
 	}
 	return wire.Resources{}
--- a/io/agent/pool.go
+++ b/io/agent/pool.go
@@ -84,7 +84,7 @@
 
 // frameConfig configures the entry's end of a connection.
 func (p *Pool) frameConfig() frame.Config {
-	return frame.Config{Local: p.cfg.Local, Key: p.cfg.Key, Handle: p.handle}
+	return frame.Config{Local: p.cfg.Local, Key: p.cfg.Key, Handle: p.handle, Log: p.cfg.Log}
 }
 
 func (p *Pool) onAccept(c *frame.Conn) {
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -22,6 +22,7 @@
 		},
 		Key:    a.cfg.Key,
 		Handle: a.handle,
+		Log:    a.cfg.Log,
 	}
 }
 
--- a/io/frame/conn.go
+++ b/io/frame/conn.go
@@ -12,10 +12,13 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"bramleythread/io/wire"
 )
 
@@ -67,6 +70,17 @@
 // Unwrap returns the cause.
 func (e *ClosedError) Unwrap() error { return e.Cause }
 
+// HandlerPanicError reports that the handler of a message panicked.
+type HandlerPanicError struct {
+	Kind  wire.Kind
+	Value any
+}
+
+// Error names the kind of the message.
+func (e *HandlerPanicError) Error() string {
+	return fmt.Sprintf("frame: handler of message kind %d panicked: %v", e.Kind, e.Value)
+}
+
 // Config configures one end of a connection.
 type Config struct {
 	Local wire.Hello // sent to the peer in the handshake
@@ -79,6 +93,8 @@
 	// IdleTimeout is the time without any frame, keep-alives included, after
 	// which the connection is closed. If it is 0, ReadTimeout applies.
 	IdleTimeout time.Duration
+
+	Log zerolog.Logger // receives panics of Handle
 }
 
 // Conn is an authenticated connection. It is safe for concurrent use.
@@ -301,6 +317,7 @@
 	go func() {
 		defer c.wg.Done()
 		defer c.activeHandlers.Add(-1)
+		defer c.closeOnPanic(m)
 		reply := c.cfg.Handle(c.ctx, c, m)
 		if reply == nil || id == 0 {
 			return
@@ -312,6 +329,17 @@
 	return nil
 }
 
+// closeOnPanic recovers from a panic of the handler and closes the connection, so
+// that a message that cannot be handled affects its sender only.
+func (c *Conn) closeOnPanic(m wire.Message) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	c.cfg.Log.Error().Str("peer", c.peer.Name).Int("kind", int(m.Kind())).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("handler_panic")
+	c.closeWith(&HandlerPanicError{Kind: m.Kind(), Value: v})
+}
+
 func (c *Conn) keepAliveLoop() {
 	defer c.wg.Done()
 	t := time.NewTicker(KeepAliveInterval)
--- a/io/frame/conn_test.go
+++ b/io/frame/conn_test.go
@@ -208,3 +208,37 @@
 		}
 	})
 }
+
+// TestPanickingHandlerEndsOnlyItsConnection sends a message whose handler
+// panics. The sender's call fails, and other connections go on.
+func TestPanickingHandlerEndsOnlyItsConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		Serve(l, 16, Config{Local: wire.Hello{Name: "server"}, Key: testKey, Handle: func(ctx context.Context, c *Conn, m wire.Message) wire.Message {
+			if r, ok := m.(*wire.RunRequest); ok {
+				return &wire.Result{Body: r.Body[:1]} // panics without a body
+			}
+			return echo(ctx, c, m)
+		}}, func(*Conn) {})
+	}()
+	defer func() {
+		_ = l.Close()
+		<-served
+	}()
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	failing, err := dial(t, addr, testKey)
+	is.NoErr(err)
+	other, err := dial(t, addr, testKey)
+	is.NoErr(err)
+	defer other.Close()
+	_, err = failing.Call(context.Background(), &wire.RunRequest{})
+	var closed *ClosedError
+	is.True(errors.As(err, &closed))
+	is.True(closed.Sent)
+	_, err = other.Call(context.Background(), &wire.RunRequest{Body: []byte("x")})
+	is.NoErr(err)
+}
--- a/io/scheduler/advise.go
+++ b/io/scheduler/advise.go
@@ -18,13 +18,11 @@
 		return
 	}
 	for _, q := range h.engine.AdviceRequests(now) {
-		h.wg.Add(1)
-		go h.advise(ctx, q)
+		h.start(func() { h.advise(ctx, q) })
 	}
 }
 
 func (h *holder) advise(ctx context.Context, q job.AdviceRequest) {
-	defer h.wg.Done()
 	h.adviceMu.Lock()
 	defer h.adviceMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, adviceTimeout)
@@ -35,6 +33,7 @@
 		Int("allowed", len(tickets)).Dur("took", time.Since(sent)).Err(err).Msg("advice")
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	defer h.recoverPanic()
 	h.engine.RecordAdvice(q, tickets, err == nil, sent, time.Now())
 	h.requestRound()
 }
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -75,6 +75,7 @@
 			Key:         c.key,
 			Handle:      c.handle,
 			IdleTimeout: linkIdleTimeout,
+			Log:         cfg.Log,
 		}, c.acceptConn)
 	}()
 	go c.run(ctx)
@@ -290,12 +291,7 @@
 		conn.Close()
 	}
 	h := newHolder(c.cfg, w)
-	err := h.loadTables(ctx)
-	if err == nil {
-		c.setHolder(h)
-		err = h.run(ctx)
-		c.setHolder(nil)
-	}
+	err := c.serveTerm(ctx, h)
 	h.rejectSubmissions()
 	var lost *LeaseLostError
 	if !errors.As(err, &lost) {
@@ -304,6 +300,25 @@
 	h.close()
 	c.setSuccessor(h.successor())
 	c.cfg.Log.Info().Uint64("epoch", w.lease.Epoch).Err(err).Msg("lease_ended")
+	var panicked *PanicError
+	if errors.As(err, &panicked) {
+		_ = sleep(ctx, panicPause)
+	}
+}
+
+// serveTerm acts as the scheduler until the term ends. A panic ends the term only.
+func (c *Candidate) serveTerm(ctx context.Context, h *holder) (err error) {
+	defer func() {
+		c.setHolder(nil)
+		if failure := h.termFailure(); failure != nil {
+			err = failure
+		}
+	}()
+	if err := h.loadTables(ctx); err != nil {
+		return err
+	}
+	c.setHolder(h)
+	return h.run(ctx)
 }
 
 // unchangedFor returns how long the lease has been read unchanged.
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -43,6 +43,7 @@
 	commitDuration time.Duration            // of the last committed transaction
 	successorLease wire.SchedulerLease      // of the process that took over; epoch 0 if unknown
 	cancelRun      context.CancelFunc       // stops run
+	failure        error                    // unexpected error that ends the term
 	queued         []*submission            // submissions for the next transactions
 	unfinished     map[string]*submission   // submissions without an outcome, by job ID
 	adviceMu       sync.Mutex               // the service handles one request at a time from each machine
@@ -74,8 +75,7 @@
 	h.mu.Lock()
 	h.cancelRun = cancel
 	h.mu.Unlock()
-	h.wg.Add(1)
-	go h.watchJobs(ctx)
+	h.start(func() { h.watchJobs(ctx) })
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	for {
@@ -84,6 +84,9 @@
 			if next := h.successor(); next.Epoch > 0 {
 				return &LeaseLostError{Holder: next.Holder, Epoch: next.Epoch}
 			}
+			if err := h.termFailure(); err != nil {
+				return err
+			}
 			return ctx.Err()
 		case <-t.C:
 		case <-h.wake:
@@ -126,21 +129,26 @@
 
 // round runs one scheduling tick, commits its decisions and sends the orders.
 func (h *holder) round(ctx context.Context) error {
-	h.mu.Lock()
 	now := time.Now()
-	h.engine.SetGuarantees(h.cfg.Guarantees())
-	submitted := h.dequeueSubmissions(now)
-	h.engine.Expire(now)
-	h.engine.Tick(now)
-	batch := h.engine.Flush()
-	h.mu.Unlock()
+	batch, submitted, err := h.decide(now)
+	if err != nil {
+		h.finishAll(submitted, wire.SubmitDeclined)
+		return err
+	}
 	if batch != nil || len(submitted) > 0 || now.Sub(h.writer.committedAt) >= renewInterval {
 		if err := h.writeRound(ctx, batch, submitted); err != nil {
 			return err
 		}
 	}
+	h.finishRound(ctx, batch, now)
+	return nil
+}
+
+// finishRound applies a committed round and sends the orders.
+func (h *holder) finishRound(ctx context.Context, batch *job.Batch, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	defer h.recoverPanic()
 	if h.confirmedAt != h.writer.committedAt {
 		h.sendToEntries(&wire.LeaseRenewed{Epoch: h.writer.lease.Epoch, Sequence: h.writer.lease.Sequence})
 	}
@@ -152,7 +160,23 @@
 		h.notifyAgent(node)
 	}
 	h.requestAdvice(ctx, now)
-	return nil
+}
+
+// decide runs one scheduling tick and returns its changes and the submitted jobs
+// among them. It fails if the term has failed.
+func (h *holder) decide(now time.Time) (batch *job.Batch, submitted []*submission, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	defer func() { err = h.failure }()
+	defer h.recoverPanic()
+	if h.failure != nil {
+		return nil, nil, h.failure
+	}
+	h.engine.SetGuarantees(h.cfg.Guarantees())
+	submitted = h.dequeueSubmissions(now)
+	h.engine.Expire(now)
+	h.engine.Tick(now)
+	return h.engine.Flush(), submitted, nil
 }
 
 // writeRound commits a batch and the submitted jobs. Jobs that cannot be
--- a/io/scheduler/link.go
+++ b/io/scheduler/link.go
@@ -83,7 +83,7 @@
 	ctx, cancel := context.WithTimeout(ctx, linkDialTimeout)
 	defer cancel()
 	c, err := frame.Dial(ctx, lease.Address, frame.Config{
-		Local: l.cfg.Local, Key: lease.Key, Handle: l.handle, IdleTimeout: linkIdleTimeout,
+		Local: l.cfg.Local, Key: lease.Key, Handle: l.handle, IdleTimeout: linkIdleTimeout, Log: l.cfg.Log,
 	})
 	if err != nil {
 		return nil, err
--- a/io/scheduler/serve.go
+++ b/io/scheduler/serve.go
@@ -89,8 +89,7 @@
 	if h.offered {
 		h.send(c, &wire.LeaseOffer{Epoch: h.writer.lease.Epoch})
 	}
-	h.wg.Add(1)
-	go h.deliverOrders(p.Name, a)
+	h.start(func() { h.deliverOrders(p.Name, a) })
 	a.notify()
 }
 
@@ -105,6 +104,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	defer h.recoverPanic()
 	switch v := m.(type) {
 	case *wire.WorkerReport:
 		h.handleReport(c, v)
@@ -152,7 +152,6 @@
 // agent that does not read blocks no other agent and gets only the latest
 // orders.
 func (h *holder) deliverOrders(node string, a *agentLink) {
-	defer h.wg.Done()
 	for {
 		select {
 		case <-a.conn.Done():
@@ -174,6 +173,7 @@
 func (h *holder) nextOrders(node string, a *agentLink) (wire.WorkerOrders, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	defer h.recoverPanic()
 	var o wire.WorkerOrders
 	if a.reported {
 		var ok bool
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -131,6 +131,7 @@
 func (h *holder) withdraw(b *job.Batch, submissions []*submission, outcome wire.SubmitOutcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	defer h.recoverPanic()
 	for _, s := range submissions {
 		h.engine.Withdraw(s.job.ID, b)
 		h.finish(s, outcome)
--- a/io/scheduler/tables.go
+++ b/io/scheduler/tables.go
@@ -62,6 +62,7 @@
 func (h *holder) applyJobRows(c platform.Changes, states map[string]*wire.JobProgress) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	defer h.recoverPanic()
 	now := time.Now()
 	var cancelled []string
 	for _, row := range c.Rows {
@@ -99,6 +100,7 @@
 func (h *holder) restoreStored(rows []platform.Row) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	defer h.recoverPanic()
 	for _, row := range rows {
 		h.restoreJob(row, nil, time.Now())
 	}
@@ -108,7 +110,6 @@
 // watchJobs adds the jobs and cancellations that entries write to the job
 // table.
 func (h *holder) watchJobs(ctx context.Context) {
-	defer h.wg.Done()
 	pause := retryMin
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
