--- a/io/caller/catalog.go
+++ b/io/caller/catalog.go
@@ -10,7 +10,6 @@
 	"bramleythread/io/platform"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sys/unix"
 )
 
 // Timing of the watch on the configuration table.
@@ -72,7 +71,7 @@
 	if c.static {
 		return c.current, 0
 	}
-	return c.current, bootTime() - c.confirmed
+	return c.current, platform.BootTime() - c.confirmed
 }
 
 // Guarantees returns the number of guaranteed accelerators by customer.
@@ -89,7 +88,7 @@
 	defer close(c.done)
 	var after uint64
 	for ctx.Err() == nil {
-		sentAt := bootTime()
+		sentAt := platform.BootTime()
 		wait := catalogPollWait
 		if _, failing := c.cfg.Health.OutageDuration(); failing {
 			wait = 0 // poll at once to detect the store's recovery
@@ -101,7 +100,7 @@
 		switch {
 		case err == nil:
 			after = max(changes.Revision, 1)
-			c.applyChanges(changes, confirmedAt(changes, sentAt, bootTime()))
+			c.applyChanges(changes, confirmedAt(changes, sentAt, platform.BootTime()))
 		case errors.As(err, &lost):
 			after = 0
 		case ctx.Err() == nil:
@@ -156,13 +155,3 @@
 	c.current = next
 	c.cfg.Log.Info().Uint64("version", next.Version).Int("queues", len(next.Queues)).Int("customers", len(next.Guaranteed)).Msg("configuration_in_force")
 }
-
-// bootTime returns the time since boot. Unlike the monotonic clock it includes
-// the time for which the VM was suspended.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		panic("read CLOCK_BOOTTIME: " + err.Error())
-	}
-	return time.Duration(t.Nano())
-}
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -30,6 +30,10 @@
 	// instance. It is nil if there is no such service.
 	Advise func(ctx context.Context, q job.AdviceRequest) (map[string]string, error)
 
+	// BootTime measures the time since the VM's boot. If it is nil,
+	// platform.BootTime does.
+	BootTime func() time.Duration
+
 	// Guarantees returns the number of accelerators guaranteed to each
 	// customer.
 	Guarantees func() map[string]int
@@ -56,6 +60,9 @@
 
 // Start starts a candidate that accepts agents and entries on l.
 func Start(cfg Config, l net.Listener) *Candidate {
+	if cfg.BootTime == nil {
+		cfg.BootTime = platform.BootTime
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Candidate{
 		cfg: cfg, key: newKey(), stop: cancel,
@@ -278,7 +285,7 @@
 // takeLease claims the lease and acts as the scheduler until the lease is lost
 // or released.
 func (c *Candidate) takeLease(ctx context.Context, seen observation, free bool) {
-	w := &writer{store: c.cfg.Store, lease: wire.SchedulerLease{Holder: c.cfg.Node, Address: c.cfg.Address, Key: c.key}}
+	w := &writer{store: c.cfg.Store, bootTime: c.cfg.BootTime, lease: wire.SchedulerLease{Holder: c.cfg.Node, Address: c.cfg.Address, Key: c.key}}
 	if err := w.claim(ctx, seen.lease, seen.revision); err != nil {
 		c.cfg.Log.Info().Err(err).Msg("lease_not_taken")
 		return
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -37,7 +37,7 @@
 	agents         map[string]*agentLink    // keyed by node
 	links          map[*frame.Conn]struct{} // connections of agents and entries
 	agentConns     uint64                   // number of agent connections so far; part of their fencing tokens
-	confirmedAt    time.Time                // send time of the last commit of the lease; copy of writer.committedAt that mu guards
+	confirmedAt    time.Duration            // boot time of the last commit of the lease; copy of writer.committedAt that mu guards
 	offered        bool                     // other entries have been asked to take over
 	closed         bool                     // no more submissions and connections are accepted
 	commitDuration time.Duration            // of the last committed transaction
@@ -135,7 +135,7 @@
 		h.finishAll(submitted, wire.SubmitDeclined)
 		return err
 	}
-	if batch != nil || len(submitted) > 0 || now.Sub(h.writer.committedAt) >= renewInterval {
+	if batch != nil || len(submitted) > 0 || h.cfg.BootTime()-h.writer.committedAt >= renewInterval {
 		if err := h.writeRound(ctx, batch, submitted); err != nil {
 			return err
 		}
@@ -298,9 +298,13 @@
 func (h *holder) confirmedRecently() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return time.Since(h.confirmedAt) <= MaxConfirmAge
+	return h.leaseAge() <= MaxConfirmAge
 }
 
+// leaseAge returns the time since the last commit of the lease, including any for
+// which the VM was suspended. The caller holds mu.
+func (h *holder) leaseAge() time.Duration { return h.cfg.BootTime() - h.confirmedAt }
+
 // rejectSubmissions declines queued and further submissions and accepts no
 // more connections. Existing connections stay open until the lease is
 // released.
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -109,7 +109,8 @@
 	onFailure   func(since time.Duration) // called after each failed attempt; may be nil
 	lease       wire.SchedulerLease
 	revision    uint64
-	committedAt time.Time // send time of the last committed transaction
+	committedAt time.Duration // boot time at which the last committed transaction was sent
+	bootTime    func() time.Duration
 }
 
 // changes are the writes of a transaction besides the lease. Inserts require
@@ -187,7 +188,7 @@
 	start := time.Now()
 	maybeApplied := false // an attempt may have been applied
 	for {
-		sent := time.Now()
+		sent := w.bootTime()
 		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 		revision, err := w.store.Commit(callCtx, t)
 		cancel()
@@ -217,7 +218,7 @@
 // resolve reports whether the outcome of a transaction is known from a
 // conflict: an earlier attempt was applied and its response was lost, rows to
 // insert exist already, or another process holds the lease.
-func (w *writer) resolve(err error, sent time.Time) (bool, error) {
+func (w *writer) resolve(err error, sent time.Duration) (bool, error) {
 	var conflict *platform.ConflictError
 	if !errors.As(err, &conflict) || len(conflict.Rows) == 0 {
 		return false, nil
--- a/io/scheduler/lease_test.go
+++ b/io/scheduler/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 )
 
 func newWriter(store platform.Store, name string) *writer {
-	return &writer{store: store, lease: wire.SchedulerLease{Holder: name}}
+	return &writer{store: store, bootTime: platform.BootTime, lease: wire.SchedulerLease{Holder: name}}
 }
 
 func row(value string) changes {
@@ -203,3 +204,37 @@
 		})
 	}
 }
+
+// TestSuspendedHolderGrantsNothing suspends the holder's VM while it cannot commit.
+// Its lease may have been taken by then, so a report must not extend the agent's
+// permission to renew the worker's lease.
+func TestSuspendedHolderGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	var suspended atomic.Int64 // time that the monotonic clock does not count
+	var silent atomic.Bool
+	store := platform.NewStandin().Store()
+	blocked := store
+	blocked.Commit = func(ctx context.Context, t platform.Txn) (uint64, error) {
+		if silent.Load() {
+			<-ctx.Done()
+			return 0, &platform.UnavailableError{Op: "commit", MaybeApplied: true, Cause: ctx.Err()}
+		}
+		return store.Commit(ctx, t)
+	}
+	c := startCandidate(t, blocked, func(cfg *Config) {
+		cfg.BootTime = func() time.Duration { return platform.BootTime() + time.Duration(suspended.Load()) }
+	})
+	agent := dialAgent(t, waitLease(t, store, func(wire.SchedulerLease) bool { return true }))
+	report := &wire.WorkerReport{Sequence: 1, Sent: time.Second, Node: "side-0", Worker: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}}
+	is.NoErr(agent.conn.Send(report))
+	is.Equal((<-agent.orders).LastReportSent, time.Second)
+	silent.Store(true)
+	suspended.Store(int64(10 * time.Second))
+	report.Sequence, report.Sent = 2, 2*time.Second
+	is.NoErr(agent.conn.Send(report))
+	is.Equal((<-agent.orders).LastReportSent, time.Second)
+	m, err := c.Call(context.Background(), &wire.StatusQuery{})
+	is.NoErr(err)
+	is.True(m.(*wire.StatusAnswer).LeaseAge >= 10*time.Second)
+	silent.Store(false)
+}
--- a/io/scheduler/serve.go
+++ b/io/scheduler/serve.go
@@ -117,7 +117,7 @@
 		return a
 	case *wire.StatusQuery:
 		a := h.engine.Status(time.Now())
-		a.Scheduler, a.Epoch, a.LeaseAge, a.Offered = h.cfg.Node, h.writer.lease.Epoch, time.Since(h.confirmedAt), h.offered
+		a.Scheduler, a.Epoch, a.LeaseAge, a.Offered = h.cfg.Node, h.writer.lease.Epoch, h.leaseAge(), h.offered
 		return a
 	case *wire.QueueQuery:
 		return &wire.QueueAnswer{Pending: h.engine.Pending(v.Queue)}
@@ -133,7 +133,7 @@
 	if !h.engine.Report(r, time.Now()) {
 		return
 	}
-	if time.Since(h.confirmedAt) <= MaxConfirmAge {
+	if h.leaseAge() <= MaxConfirmAge {
 		a.grantedAt = r.Sent
 	}
 	a.reported = true
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -48,8 +48,8 @@
 	timeout := h.scaledTimeout(2, declineMin, declineMax)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if err != nil || h.closed || h.offered || time.Since(h.confirmedAt) > maxSubmitConfirmAge {
-		h.cfg.Log.Info().Str("job", j.ID).Dur("lease_age", time.Since(h.confirmedAt)).Bool("offered", h.offered).Err(err).Msg("submission_declined")
+	if err != nil || h.closed || h.offered || h.leaseAge() > maxSubmitConfirmAge {
+		h.cfg.Log.Info().Str("job", j.ID).Dur("lease_age", h.leaseAge()).Bool("offered", h.offered).Err(err).Msg("submission_declined")
 		return nil
 	}
 	if s := h.unfinished[j.ID]; s != nil {
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -208,8 +208,8 @@
 type WorkerReport struct {
 	Sequence  uint64        `msg:"sequence"`
 	Node      string        `msg:"node"`
-	Sent      time.Duration `msg:"sent"`   // on the agent's monotonic clock
-	RunningAt time.Duration `msg:"looked"` // when the worker listed Running, on the same clock
+	Sent      time.Duration `msg:"sent"`   // since the boot of the agent's VM
+	RunningAt time.Duration `msg:"looked"` // when the worker listed Running, on the agent's monotonic clock
 	Worker    WorkerInfo    `msg:"worker"`
 	Running   []RunningTask `msg:"running"`
 	Ended     []EndedRun    `msg:"ended"`
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -31,6 +31,10 @@
 	Worker  Worker
 	Log     zerolog.Logger
 	Metrics *Metrics
+
+	// BootTime measures the time since the VM's boot. If it is nil,
+	// platform.BootTime does.
+	BootTime func() time.Duration
 }
 
 // Agent connects one worker to the scheduler. No other process calls the
@@ -79,6 +83,9 @@
 
 // Start starts an agent, which runs until Close is called.
 func Start(cfg Config) *Agent {
+	if cfg.BootTime == nil {
+		cfg.BootTime = platform.BootTime
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		cfg: cfg, start: time.Now(), ctx: ctx, stop: cancel, done: make(chan struct{}),
@@ -144,13 +151,20 @@
 	return true
 }
 
-// WorkerLeft records that a worker has announced its end.
-func (a *Agent) WorkerLeft(instance string) {
+// WorkerLeft records that a worker has announced its end. born identifies the
+// lifetime that ends, or is 0 if the announcement does not name it. Such an
+// announcement counts only for a draining worker: it may have been delayed until
+// the worker has started again under the same id.
+func (a *Agent) WorkerLeft(instance string, born int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if instance != a.info.Instance || a.info.State == wire.WorkerGone {
 		return
 	}
+	if born != 0 && born != a.info.Born || born == 0 && a.info.State != wire.WorkerDraining {
+		a.cfg.Log.Info().Str("instance", instance).Int64("born", born).Int64("present", a.info.Born).Str("state", string(a.info.State)).Msg("leave_ignored")
+		return
+	}
 	a.info.State = wire.WorkerGone
 	a.cfg.Log.Info().Str("instance", instance).Msg("worker_left")
 	a.report()
@@ -179,12 +193,14 @@
 }
 
 // leaseEnd returns the lease end to request, on the worker's clock, or 0 if
-// the scheduler's permission to renew has expired.
+// the scheduler's permission to renew has expired. The permission counts the time
+// for which the VM was suspended. The estimate of the worker's clock does not, so
+// it is never ahead, whether that clock ran or not.
 func (a *Agent) leaseEnd(now time.Time) time.Duration {
 	if a.orders.LastReportSent == 0 || a.clockAt.IsZero() {
 		return 0
 	}
-	if now.Sub(a.start) > a.orders.LastReportSent+scheduler.RenewalGrant {
+	if a.cfg.BootTime() > a.orders.LastReportSent+scheduler.RenewalGrant {
 		return 0
 	}
 	return a.clock + now.Sub(a.clockAt) + scheduler.WorkerLeaseDuration
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -258,7 +258,7 @@
 	}
 	a.sequence++
 	m := &wire.WorkerReport{
-		Sequence: a.sequence, Node: a.cfg.Node, Sent: time.Since(a.start) + 1, RunningAt: a.polledAt.Sub(a.start), Worker: a.info, Ended: a.ended,
+		Sequence: a.sequence, Node: a.cfg.Node, Sent: a.cfg.BootTime(), RunningAt: a.polledAt.Sub(a.start), Worker: a.info, Ended: a.ended,
 	}
 	for _, t := range a.running {
 		m.Running = append(m.Running, t)
--- a/io/worker/link_test.go
+++ b/io/worker/link_test.go
@@ -218,3 +218,45 @@
 	a.Close()
 	is.Equal(len(stops), 0)
 }
+
+// TestSuspendedAgentStartsNothing suspends the agent's VM for longer than the
+// scheduler's permission to renew leases lasts. The scheduler may have started the
+// run elsewhere since, so the agent must not start it.
+func TestSuspendedAgentStartsNothing(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStandin().Store()
+	s := newScriptedScheduler(t, store)
+	standin := worker.NewStandin(worker.StandinConfig{
+		Info: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}, MaxLease: 6 * time.Second, StopDelay: time.Millisecond,
+	})
+	var suspended atomic.Int64 // time that the monotonic clock does not count
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: store, Worker: standin.Worker(), Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+		BootTime: func() time.Duration { return platform.BootTime() + time.Duration(suspended.Load()) },
+	})
+	defer a.Close()
+	a.Announce(standin.Announcement(1))
+	conn := <-s.conns
+	orders := &wire.WorkerOrders{Sequence: 1, Epoch: 1, Token: 1 << 8, Instance: "i-1", Born: 1}
+	is.NoErr(conn.Send(orders))
+	waitReport := func(ok func(r *wire.WorkerReport) bool) *wire.WorkerReport {
+		t.Helper()
+		for end := time.Now().Add(testTimeout); ; time.Sleep(5 * time.Millisecond) {
+			if r := s.last.Load(); r != nil && ok(r) {
+				return r
+			}
+			if time.Now().After(end) {
+				t.Fatal("no such report")
+			}
+		}
+	}
+	granted := waitReport(func(*wire.WorkerReport) bool { return true }).Sent
+	suspended.Store(int64(10 * time.Second))
+	run := wire.TaskRun{Task: wire.TaskID{Job: "j"}, Run: 1}
+	orders.Sequence, orders.LastReportSent = 2, granted
+	orders.Starts = []wire.StartTask{{Task: run.Task, Run: run.Run, Spec: "1m"}}
+	is.NoErr(conn.Send(orders))
+	refused := waitReport(func(r *wire.WorkerReport) bool { return len(r.Refused) == 1 || len(r.Running) > 0 })
+	is.Equal(refused.Refused, []wire.RefusedRun{{Task: run.Task, Run: run.Run, Reason: "no_grant"}})
+	is.Equal(len(standin.StartCounts()), 0)
+}
