--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -7,6 +7,8 @@
 package job
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"bramleythread/io/wire"
@@ -143,6 +145,23 @@
 	dirty          bool // has changed orders to send
 }
 
+// sortedRuns returns the runs of the worker in the order of their tasks, so that
+// decisions do not depend on the order of a map.
+func (w *Worker) sortedRuns() []*run {
+	runs := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, compareRuns)
+	return runs
+}
+
+func compareRuns(a, b *run) int { return compareTasks(a.task.id(), b.task.id()) }
+
+func compareTasks(a, b wire.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
 // ack is the end of a run that is acknowledged once jobVersion of the job is
 // committed.
 type ack struct {
--- a/core/job/health.go
+++ b/core/job/health.go
@@ -145,6 +145,16 @@
 	}
 }
 
+// recordWorkerFailure records a failed run with its worker, unless its job has ended
+// or it was long-running work that had become available.
+func (e *Engine) recordWorkerFailure(r *run, now time.Time) {
+	s := r.task.stage
+	if s.step.LongRunning && r.percent >= completePercent || s.job.state.Final() || r.task.done {
+		return
+	}
+	e.recordRunFailure(r, e.failedEarly(r, now), now)
+}
+
 // failedEarly reports whether a run that fails now has failed at once.
 func (e *Engine) failedEarly(r *run, now time.Time) bool {
 	if r.startedAt.IsZero() { // it ended between two polls of the worker
--- a/core/job/health_test.go
+++ b/core/job/health_test.go
@@ -82,3 +82,64 @@
 	f.tick()
 	is.Equal(len(f.runs("waits")), 1)
 }
+
+// ejectWorker lets runs of two jobs fail on a worker and waits until its ejection is
+// over.
+func ejectWorker(f *testCluster, name string) {
+	f.t.Helper()
+	for _, id := range []string{"first", "second"} {
+		f.e.Submit(f.job(id, 1, step(1, 1)), f.now)
+		f.tick()
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.report(name, nil, map[wire.TaskID]wire.RunEnd{{Job: id}: wire.EndFailed})
+		f.e.Cancel(id, f.now)
+		f.tick()
+	}
+	if f.e.workers[name].health.usable(f.now) {
+		f.t.Fatal("the worker is not ejected")
+	}
+	f.now = f.now.Add(firstEjection)
+	f.report(name, nil, nil)
+}
+
+// TestProbeReleasesWorker ends the probe of a worker after an ejection in several
+// ways. The worker must become usable again, or be probed again.
+func TestProbeReleasesWorker(t *testing.T) {
+	probe := wire.TaskID{Job: "probe"}
+	tests := map[string]struct {
+		end    func(f *testCluster)
+		placed int // tasks of the next job that run at once
+	}{
+		"it makes progress": {placed: 2, end: func(f *testCluster) {
+			f.now = f.now.Add(time.Second)
+			f.report(node(0), func(r *wire.WorkerReport) { r.Running[0].Percent = 10 }, nil)
+		}},
+		"it is done": {placed: 2, end: func(f *testCluster) {
+			f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{probe: wire.EndDone})
+		}},
+		"it is cancelled": {placed: 1, end: func(f *testCluster) {
+			f.e.Cancel("probe", f.now)
+			f.tick()
+			f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{probe: wire.EndStopped})
+		}},
+		"it goes on": {placed: 0, end: func(*testCluster) {}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			f.workers(1)
+			ejectWorker(f, node(0))
+			f.e.Submit(f.job("probe", 1, step(1, 1)), f.now)
+			f.tick()
+			is.Equal(len(f.runs("probe")), 1)
+			f.report(node(0), nil, nil)
+			tt.end(f)
+			f.now = f.now.Add(lastResortPause) // the only worker is probed once a second
+			f.report(node(0), nil, nil)
+			f.e.Submit(f.job("next", 1, step(2, 1)), f.now)
+			f.tick()
+			is.Equal(len(f.runs("next")), tt.placed)
+		})
+	}
+}
--- a/core/job/orders.go
+++ b/core/job/orders.go
@@ -1,6 +1,10 @@
 package job
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"bramleythread/io/wire"
 )
 
@@ -26,7 +30,8 @@
 		return wire.WorkerOrders{}, false
 	}
 	o := wire.WorkerOrders{Instance: w.Instance, Born: w.Born, AckedEnds: w.ackedEnd}
-	for id, r := range w.runs {
+	for _, r := range w.sortedRuns() {
+		id := r.task.id()
 		if step := r.task.stage.step; (step.TargetLatency > 0 || step.UsesSpareCPU) && r.phase != stopping {
 			o.Shared = append(o.Shared, wire.SharedTask{Task: id, Run: r.number, TargetLatency: step.TargetLatency, UsesSpareCPU: step.UsesSpareCPU})
 		}
@@ -37,7 +42,9 @@
 			o.Starts = append(o.Starts, wire.StartTask{Task: id, Run: r.number, Spec: r.task.stage.job.Spec, Checkpoint: r.task.checkpoint, Ticket: r.task.stage.ticket(w)})
 		}
 	}
-	for stray := range w.unexpectedRuns {
+	for _, stray := range slices.SortedFunc(maps.Keys(w.unexpectedRuns), func(a, b wire.TaskRun) int {
+		return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
+	}) {
 		if r := w.runs[stray.Task]; r == nil || r.number != stray.Run {
 			o.Stops = append(o.Stops, stray)
 		}
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -215,7 +215,7 @@
 		victims = append(victims, victim{r: r, lostWork: lost})
 	}
 	slices.SortFunc(victims, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.lostWork, b.lostWork), cmp.Compare(a.r.task.id().Job, b.r.task.id().Job), cmp.Compare(a.r.task.index, b.r.task.index))
+		return cmp.Or(cmp.Compare(a.lostWork, b.lostWork), compareRuns(a.r, b.r))
 	})
 	var chosen []*run
 	var lost float64
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -54,7 +54,7 @@
 // save checkpoints, are long-running or have not started), and those that would not
 // end before the worker leaves.
 func (e *Engine) drainWorker(w *Worker, now time.Time) {
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		step := r.task.stage.step
 		if r.phase == ordered || step.Checkpoints || step.LongRunning || e.expectedRemaining(r, now) > w.Remaining+drainSlack {
 			e.stopRunOrGang(r, "worker_draining")
@@ -102,7 +102,7 @@
 
 // endAllRuns ends all runs of a worker that has certainly stopped running them.
 func (e *Engine) endAllRuns(w *Worker, reason string, now time.Time) {
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		e.endRun(r, wire.EndCrashed, "", reason, now)
 	}
 	clear(w.unexpectedRuns)
@@ -166,8 +166,8 @@
 	for _, t := range r.Pending {
 		present[t] = true
 	}
-	for id, run := range w.runs {
-		if run.restored && run.phase == stopping && !present[wire.TaskRun{Task: id, Run: run.number}] {
+	for _, run := range w.sortedRuns() {
+		if run.restored && run.phase == stopping && !present[wire.TaskRun{Task: run.task.id(), Run: run.number}] {
 			e.endRun(run, wire.EndStopped, "", "not_there", now)
 		}
 	}
@@ -307,9 +307,8 @@
 func (e *Engine) endRun(r *run, how wire.RunEnd, checkpoint, reason string, now time.Time) {
 	t, s := r.task, r.task.stage
 	j := s.job
-	// An available long-running run that fails does not count against the worker.
-	if how == wire.EndFailed && !(s.step.LongRunning && r.percent >= completePercent) && !j.state.Final() && !t.done {
-		e.recordRunFailure(r, e.failedEarly(r, now), now)
+	if how == wire.EndFailed {
+		e.recordWorkerFailure(r, now)
 	}
 	e.detachRun(r)
 	if checkpoint != "" {
--- a/core/job/reserve.go
+++ b/core/job/reserve.go
@@ -107,7 +107,7 @@
 		}
 		ends = append(ends, end{at: now.Add(left), r: r})
 	}
-	slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+	slices.SortFunc(ends, func(a, b end) int { return cmp.Or(a.at.Compare(b.at), compareRuns(a.r, b.r)) })
 	limit := min(n, e.maxPerWorkerLeft(w, s))
 	free := e.freeFor(w, s, now)
 	var openings []opening
