--- a/io/caller/admission.go
+++ b/io/caller/admission.go
@@ -11,12 +11,28 @@
 
 // revocationMargin is subtracted from the revocation limit, the time for which a
 // revoked token may still be accepted. A watch that has lost its history may
-// have been silent for a second, and handling a request takes time.
+// have been silent for a second, and handling a request takes time. At most half
+// of the limit is subtracted, so that something is left of a short one.
 const revocationMargin = 1500 * time.Millisecond
 
+// maxConfigAge returns the greatest age of a configuration that admits requests.
+func maxConfigAge(revocationLimit time.Duration) time.Duration {
+	return revocationLimit - min(revocationMargin, revocationLimit/2)
+}
+
+// PollWait returns the duration of a long poll for the configuration, such that it
+// is recent enough in between for requests to be admitted. A limit of 0 means that
+// a configuration of any age admits them.
+func PollWait(revocationLimit time.Duration) time.Duration {
+	if revocationLimit <= 0 {
+		return maxPollWait
+	}
+	return min(maxPollWait, maxConfigAge(revocationLimit)*3/7) // the age reaches twice the wait and a response
+}
+
 // maxReadyConfigAge is the configuration age up to which an entry reports ready:
 // one long poll plus the time allowed for a slow response.
-const maxReadyConfigAge = catalogPollWait + catalogResponseMargin
+const maxReadyConfigAge = maxPollWait + catalogResponseMargin
 
 // storeOutageGrace is how long the store may fail before the entry reports not
 // ready. A single lost response is no reason to divert callers.
@@ -32,7 +48,8 @@
 }
 
 // NewAdmissionController returns an AdmissionController for a catalog. A revoked
-// token may still be accepted for the given revocation limit.
+// token may still be accepted for the given revocation limit, or for any time if it
+// is 0.
 func NewAdmissionController(c *Catalog, h *platform.Health, revocation time.Duration) *AdmissionController {
 	a := &AdmissionController{catalog: c, health: h}
 	a.SetRevocationLimit(revocation)
@@ -78,7 +95,7 @@
 // token as unknown.
 func (a *AdmissionController) Admit(host, path, token string) (Admission, error) {
 	c, age := a.catalog.Get()
-	if c == nil || age > time.Duration(a.revocation.Load())-revocationMargin {
+	if limit := time.Duration(a.revocation.Load()); c == nil || limit > 0 && age > maxConfigAge(limit) {
 		return Admission{}, &StaleConfigError{Age: age}
 	}
 	q := c.Route(host, path)
--- a/io/caller/catalog.go
+++ b/io/caller/catalog.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -14,7 +15,7 @@
 
 // Timing of the watch on the configuration table.
 const (
-	catalogPollWait       = 1500 * time.Millisecond // long poll of the store; the known configuration is at most twice as old
+	maxPollWait           = 1500 * time.Millisecond // long poll of the store; the known configuration is at most twice as old
 	catalogResponseMargin = time.Second             // added to the poll, for a slow store's response
 	catalogRetryDelay     = 150 * time.Millisecond  // delay after a failure
 )
@@ -26,6 +27,10 @@
 	Log    zerolog.Logger
 	Table  string
 	Key    string // of the row with the configuration
+
+	// PollWait is the duration of a long poll. If it is 0, maxPollWait applies.
+	PollWait time.Duration
+
 	Decode func(row []byte) (*job.Catalog, error)
 }
 
@@ -44,6 +49,7 @@
 
 // WatchCatalog returns a catalog that watches the store until it is closed.
 func WatchCatalog(cfg CatalogConfig) *Catalog {
+	cfg.PollWait = cmp.Or(cfg.PollWait, maxPollWait)
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Catalog{cfg: cfg, stop: cancel, done: make(chan struct{})}
 	go c.run(ctx)
@@ -89,7 +95,7 @@
 	var after uint64
 	for ctx.Err() == nil {
 		sentAt := platform.BootTime()
-		wait := catalogPollWait
+		wait := c.cfg.PollWait
 		if _, failing := c.cfg.Health.OutageDuration(); failing {
 			wait = 0 // poll at once to detect the store's recovery
 		}
@@ -100,7 +106,7 @@
 		switch {
 		case err == nil:
 			after = max(changes.Revision, 1)
-			c.applyChanges(changes, confirmedAt(changes, sentAt, platform.BootTime()))
+			c.applyChanges(changes, c.confirmedAt(changes, sentAt, platform.BootTime()))
 		case errors.As(err, &lost):
 			after = 0
 		case ctx.Err() == nil:
@@ -117,9 +123,9 @@
 // confirmedAt returns a boot time as of which the store held nothing newer than
 // the changes. This is the time of the request, unless the response is empty
 // after a full long poll: the store then made it at the end of the poll.
-func confirmedAt(changes platform.Changes, sentAt, answeredAt time.Duration) time.Duration {
-	if len(changes.Rows) == 0 && answeredAt-sentAt >= catalogPollWait {
-		return sentAt + catalogPollWait*9/10 // allows for a store clock that runs fast
+func (c *Catalog) confirmedAt(changes platform.Changes, sentAt, answeredAt time.Duration) time.Duration {
+	if len(changes.Rows) == 0 && answeredAt-sentAt >= c.cfg.PollWait {
+		return sentAt + c.cfg.PollWait*9/10 // allows for a store clock that runs fast
 	}
 	return sentAt
 }
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -153,7 +153,8 @@
 		p.notice = min(p.notice, limit)
 	}
 	p.catalog = caller.WatchCatalog(caller.CatalogConfig{
-		Store: store, Health: health, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey, Decode: adapter.DecodeConfiguration,
+		Store: store, Health: health, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey,
+		PollWait: caller.PollWait(s.RevocationLimit), Decode: adapter.DecodeConfiguration,
 	})
 	p.admission = caller.NewAdmissionController(p.catalog, health, s.RevocationLimit)
 	var advise func(ctx context.Context, q job.AdviceRequest) (map[string]string, error)
