--- a/core/job/health.go
+++ b/core/job/health.go
@@ -155,8 +155,12 @@
 	e.recordRunFailure(r, e.failedEarly(r, now), now)
 }
 
-// failedEarly reports whether a run that fails now has failed at once.
+// failedEarly reports whether a run that fails now has failed at once. When a run of
+// an earlier scheduler started is not known.
 func (e *Engine) failedEarly(r *run, now time.Time) bool {
+	if r.restored {
+		return false
+	}
 	if r.startedAt.IsZero() { // it ended between two polls of the worker
 		return true
 	}
--- a/core/job/health_test.go
+++ b/core/job/health_test.go
@@ -143,3 +143,30 @@
 		})
 	}
 }
+
+// TestEarlyFailures lets runs fail after different times. Only those that fail at
+// once make their worker suspect.
+func TestEarlyFailures(t *testing.T) {
+	tests := map[string]struct {
+		before  func(f *testCluster) // called before the run fails
+		suspect bool
+	}{
+		"at once":                        {before: func(*testCluster) {}, suspect: true},
+		"before it was listed":           {before: func(f *testCluster) { f.now = f.now.Add(40 * time.Millisecond) }, suspect: true},
+		"soon after it was listed":       {before: func(f *testCluster) { f.report(node(0), nil, nil); f.now = f.now.Add(40 * time.Millisecond) }, suspect: true},
+		"after some work":                {before: func(f *testCluster) { f.report(node(0), nil, nil); f.now = f.now.Add(time.Second) }},
+		"soon after a scheduler restart": {before: func(f *testCluster) { f.report(node(0), nil, nil); f.now = f.now.Add(time.Second); f.restart() }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			f.workers(1)
+			f.e.Submit(f.job("j", 1, step(1, 1)), f.now)
+			f.tick()
+			tt.before(f)
+			f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: wire.EndFailed})
+			is.Equal(f.e.workers[node(0)].health.suspect, tt.suspect)
+		})
+	}
+}
