--- a/core/job/commit.go
+++ b/core/job/commit.go
@@ -86,12 +86,31 @@
 	w.pendingAcks = w.pendingAcks[n:]
 }
 
-// progress returns the state of a job to write.
+// progress returns the state of a job to write. If it does not fit into a row, it
+// leaves out the checkpoints, without which tasks start over after a takeover.
 func (j *Job) progress() wire.JobProgress {
+	j.closeOccurrences()
+	p := j.fullProgress()
+	if p.Msgsize() <= MaxRowBytes { // an upper bound of the size
+		return p
+	}
+	if row, err := p.MarshalMsg(nil); err == nil && len(row) <= MaxRowBytes {
+		return p
+	}
+	for _, s := range p.Stages {
+		for i := range s.Tasks {
+			s.Tasks[i].Checkpoint = ""
+		}
+	}
+	return p
+}
+
+func (j *Job) fullProgress() wire.JobProgress {
 	p := wire.JobProgress{State: j.state}
 	if j.state.Final() && !j.hasActiveRuns() {
 		return p
 	}
+	p.Done = j.doneRanges()
 	workers := make(map[wire.WorkerRef]int)
 	for _, s := range j.stageList {
 		sp := wire.StageProgress{Occurrence: s.key.occurrence, Step: s.key.step, Failures: s.failures}
--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -92,7 +92,8 @@
 // clock jumps do not change the job's age, and caps it at now.
 func (e *Engine) addJob(row wire.Job, now time.Time) *Job {
 	row.Accepted = now.Add(-max(now.Sub(row.Accepted), 0))
-	j := &Job{Job: row, state: wire.JobQueued, durableState: wire.JobQueued, stages: make(map[stageKey]*stage)}
+	j := &Job{Job: row, state: wire.JobQueued, durableState: wire.JobQueued, stages: make(map[stageKey]*stage),
+		openOccurrences: make(map[int]bool), doneOccurrences: make(map[int]bool)}
 	e.jobs[row.ID] = j
 	e.jobList = append(e.jobList, j)
 	if row.RepeatCount == 0 {
@@ -101,68 +102,6 @@
 	return j
 }
 
-// Restore adds a job with the progress recorded by an earlier scheduler.
-func (e *Engine) Restore(row wire.Job, p *wire.JobProgress, now time.Time) {
-	j := e.addJob(row, now)
-	if p == nil {
-		return
-	}
-	j.state, j.durableState, j.everPlaced = p.State, p.State, len(p.Stages) > 0
-	j.version, j.writtenVersion = 1, 1
-	for _, sp := range p.Stages {
-		e.restoreStage(j, sp, p.Workers, now)
-	}
-	if j.state.Final() {
-		j.endedAt = now
-		for _, s := range j.stageList {
-			for _, t := range s.tasks {
-				if t.run != nil {
-					e.stopRun(t.run, "job_ended")
-				}
-			}
-		}
-		return
-	}
-	for occurrence := range max(j.RepeatCount, 1) {
-		if j.stages[stageKey{occurrence, 0}] != nil {
-			e.createReadyStages(j, occurrence, now)
-		}
-	}
-}
-
-// restoreStage restores one stage. It ignores progress that does not match the
-// job's steps; those tasks start over.
-func (e *Engine) restoreStage(j *Job, sp wire.StageProgress, workers []wire.WorkerRef, now time.Time) {
-	key := stageKey{sp.Occurrence, sp.Step}
-	if sp.Step < 0 || sp.Step >= len(j.Steps) || len(sp.Tasks) > 0 && len(sp.Tasks) != j.Steps[sp.Step].Count {
-		return
-	}
-	s := j.stages[key]
-	if s == nil {
-		s = newStage(j, key, now)
-	}
-	s.failures = sp.Failures
-	if len(sp.Tasks) == 0 {
-		for _, t := range s.tasks {
-			t.done = true
-		}
-		s.tasksLeft = 0
-		return
-	}
-	for i, tp := range sp.Tasks {
-		t := s.tasks[i]
-		t.lastRun, t.failures, t.checkpoint = tp.Run, tp.Failures, tp.Checkpoint
-		j.everPlaced = j.everPlaced || tp.Run > 0
-		if tp.Done {
-			t.done = true
-			s.tasksLeft--
-		}
-		if tp.Worker > 0 && tp.Worker <= len(workers) {
-			e.attachRun(t, e.workerFor(workers[tp.Worker-1]), tp.Run, now).restored = true
-		}
-	}
-}
-
 // workerFor returns the row of the worker that ref names. If it has not reported
 // yet, workerFor adds a row with its identity only, since it may still run tasks.
 func (e *Engine) workerFor(ref wire.WorkerRef) *Worker {
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -22,7 +22,9 @@
 	durableState        wire.JobState // the last committed state
 	everPlaced          bool          // a task has been placed at least once
 	stages              map[stageKey]*stage
-	stageList           []*stage // in order of creation
+	stageList           []*stage // in order of creation; without those of done occurrences
+	openOccurrences     map[int]bool
+	doneOccurrences     map[int]bool
 	endedAt             time.Time
 	checkpointWrittenAt time.Time // when a checkpoint last queued its row for writing
 	version             uint64    // counts changes of the state to write
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -391,6 +391,9 @@
 func (j *Job) complete() bool {
 	for occurrence := range max(j.RepeatCount, 1) {
 		for i := range j.Steps {
+			if j.doneOccurrences[occurrence] {
+				break
+			}
 			s := j.stages[stageKey{occurrence, i}]
 			if s == nil || s.tasksLeft > 0 {
 				return false
--- /dev/null
+++ b/core/job/restore.go
@@ -0,0 +1,88 @@
+package job
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bramleythread/io/wire"
+)
+
+// Restore adds a job with the progress recorded by an earlier scheduler.
+func (e *Engine) Restore(row wire.Job, p *wire.JobProgress, now time.Time) {
+	j := e.addJob(row, now)
+	if p == nil {
+		return
+	}
+	j.state, j.durableState, j.everPlaced = p.State, p.State, len(p.Stages)+len(p.Done) > 0
+	j.version, j.writtenVersion = 1, 1
+	j.restoreDone(p.Done)
+	for _, sp := range p.Stages {
+		e.restoreStage(j, sp, p.Workers, now)
+	}
+	if j.state.Final() {
+		j.endedAt = now
+		for _, s := range j.stageList {
+			for _, t := range s.tasks {
+				if t.run != nil {
+					e.stopRun(t.run, "job_ended")
+				}
+			}
+		}
+		return
+	}
+	if j.RepeatCount == 0 {
+		e.createReadyStages(j, 0, now)
+	}
+	for _, occurrence := range slices.Sorted(maps.Keys(j.openOccurrences)) {
+		e.createReadyStages(j, occurrence, now)
+	}
+}
+
+// restoreStage restores one stage. It ignores progress that does not match the
+// job's steps; those tasks start over.
+func (e *Engine) restoreStage(j *Job, sp wire.StageProgress, workers []wire.WorkerRef, now time.Time) {
+	key := stageKey{sp.Occurrence, sp.Step}
+	if !j.matches(sp) {
+		return
+	}
+	s := j.stages[key]
+	if s == nil {
+		s = newStage(j, key, now)
+	}
+	if j.RepeatCount > 0 {
+		j.openOccurrences[sp.Occurrence] = true
+	}
+	s.failures = sp.Failures
+	if len(sp.Tasks) == 0 {
+		for _, t := range s.tasks {
+			t.done = true
+		}
+		s.tasksLeft = 0
+		return
+	}
+	for i, tp := range sp.Tasks {
+		t := s.tasks[i]
+		t.lastRun, t.failures, t.checkpoint = tp.Run, tp.Failures, tp.Checkpoint
+		j.everPlaced = j.everPlaced || tp.Run > 0
+		if tp.Done {
+			t.done = true
+			s.tasksLeft--
+		}
+		if tp.Worker > 0 && tp.Worker <= len(workers) {
+			e.attachRun(t, e.workerFor(workers[tp.Worker-1]), tp.Run, now).restored = true
+		}
+	}
+}
+
+// matches reports whether the progress of a stage is one of the job's steps.
+func (j *Job) matches(sp wire.StageProgress) bool {
+	switch {
+	case sp.Step < 0 || sp.Step >= len(j.Steps), sp.Occurrence < 0 || sp.Occurrence >= max(j.RepeatCount, 1):
+		return false
+	case j.doneOccurrences[sp.Occurrence]:
+		return false
+	default:
+		return len(sp.Tasks) == 0 || len(sp.Tasks) == j.Steps[sp.Step].Count
+	}
+}
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -42,24 +42,6 @@
 	}
 }
 
-// openDueOccurrences creates the first stages of occurrences that are due.
-func (e *Engine) openDueOccurrences(now time.Time) {
-	for _, j := range e.jobList {
-		if j.RepeatCount == 0 || j.state.Final() {
-			continue
-		}
-		for occurrence := range j.RepeatCount {
-			due := j.FirstRun.Add(time.Duration(occurrence) * j.Interval)
-			if now.UnixMilli() < due.UnixMilli() {
-				break
-			}
-			if j.stages[stageKey{occurrence, 0}] == nil {
-				e.createReadyStages(j, occurrence, now)
-			}
-		}
-	}
-}
-
 // waitingStages returns the stages with tasks to place, the most urgent first.
 func (e *Engine) waitingStages(now time.Time) []*stage {
 	var queue []*stage
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -13,7 +13,7 @@
 //msgp:shim WorkerState as:string using:string/WorkerState
 //msgp:shim RunEnd as:string using:string/RunEnd
 //msgp:shim SubmitOutcome as:string using:string/SubmitOutcome
-//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun SharedTask
+//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun SharedTask OccurrenceRange
 
 // JobState is the state of a job, as reported to callers.
 type JobState string
@@ -145,11 +145,19 @@
 	Tasks      []TaskProgress
 }
 
-// JobProgress is the persistent state of a job that has begun.
+// OccurrenceRange is a range of occurrences of a repeated job, without its end.
+type OccurrenceRange struct {
+	From int
+	To   int
+}
+
+// JobProgress is the persistent state of a job that has begun. Stages holds nothing
+// of the occurrences in Done.
 type JobProgress struct {
-	State   JobState        `msg:"state"`
-	Workers []WorkerRef     `msg:"workers"`
-	Stages  []StageProgress `msg:"stages"`
+	State   JobState          `msg:"state"`
+	Workers []WorkerRef       `msg:"workers"`
+	Stages  []StageProgress   `msg:"stages"`
+	Done    []OccurrenceRange `msg:"done,omitempty"` // occurrences of which all tasks are done
 }
 
 // SchedulerLease is the row whose holder is the scheduler. Every transaction of
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -636,28 +636,52 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *JobProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "state"
-	o = append(o, 0x83, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	o = msgp.AppendString(o, string(z.State))
-	// string "workers"
-	o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
-	for za0001 := range z.Workers {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Workers[za0001].Node)
-		o = msgp.AppendString(o, z.Workers[za0001].Instance)
-		o = msgp.AppendInt64(o, z.Workers[za0001].Born)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Done == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	// string "stages"
-	o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
-	for za0002 := range z.Stages {
-		o, err = z.Stages[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Stages", za0002)
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "state"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		o = msgp.AppendString(o, string(z.State))
+		// string "workers"
+		o = append(o, 0xa7, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Workers)))
+		for za0001 := range z.Workers {
+			// array header, size 3
+			o = append(o, 0x93)
+			o = msgp.AppendString(o, z.Workers[za0001].Node)
+			o = msgp.AppendString(o, z.Workers[za0001].Instance)
+			o = msgp.AppendInt64(o, z.Workers[za0001].Born)
+		}
+		// string "stages"
+		o = append(o, 0xa6, 0x73, 0x74, 0x61, 0x67, 0x65, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Stages)))
+		for za0002 := range z.Stages {
+			o, err = z.Stages[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Stages", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "done"
+			o = append(o, 0xa4, 0x64, 0x6f, 0x6e, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Done)))
+			for za0003 := range z.Done {
+				// array header, size 2
+				o = append(o, 0x92)
+				o = msgp.AppendInt(o, z.Done[za0003].From)
+				o = msgp.AppendInt(o, z.Done[za0003].To)
+			}
 		}
 	}
 	return
@@ -761,6 +785,44 @@
 					return
 				}
 			}
+		case "done":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Done")
+				return
+			}
+			if zb0006 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Done) >= int(zb0006) {
+				z.Done = (z.Done)[:zb0006]
+			} else {
+				z.Done = make([]OccurrenceRange, zb0006)
+			}
+			for za0003 := range z.Done {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Done", za0003)
+					return
+				}
+				if zb0007 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0007}
+					return
+				}
+				z.Done[za0003].From, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Done", za0003, "From")
+					return
+				}
+				z.Done[za0003].To, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Done", za0003, "To")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -783,6 +845,7 @@
 	for za0002 := range z.Stages {
 		s += z.Stages[za0002].Msgsize()
 	}
+	s += 5 + msgp.ArrayHeaderSize + (len(z.Done) * (9 + msgp.IntSize + msgp.IntSize))
 	return
 }
 
@@ -1379,6 +1442,48 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z OccurrenceRange) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt(o, z.From)
+	o = msgp.AppendInt(o, z.To)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *OccurrenceRange) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.From, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	z.To, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z OccurrenceRange) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z QueueAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
