--- a/core/job/health.go
+++ b/core/job/health.go
@@ -61,7 +61,7 @@
 	h.lastFailedJob, h.lastFailure = f.job, now
 	h.unproven = h.unproven || f.early
 	h.suspect = h.suspect || f.early && f.blamed
-	if h.failures >= ejectThreshold {
+	if h.failures >= ejectThreshold && !now.Before(h.ejectedUntil) { // runs that fail together count as one
 		h.ejectionPeriod = min(max(2*h.ejectionPeriod, firstEjection), maxEjection)
 		h.ejectedUntil = now.Add(h.ejectionPeriod)
 	}
@@ -129,7 +129,7 @@
 		}
 		j.earlyFailures[w] = struct{}{}
 		if len(j.earlyFailures) <= maxBlamedWorkers {
-			e.service(w.Service).recordEarlyFailure(j.ID, now)
+			e.recordServiceFailure(w.Service, j.ID, now)
 		}
 	}
 	before := w.health
--- a/core/job/health_test.go
+++ b/core/job/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -170,3 +171,52 @@
 		})
 	}
 }
+
+// TestServiceProbedWhileAllWorkersFail lets runs fail at once on every worker. The
+// service must be probed by one job at a time, and be used again once a run survives.
+func TestServiceProbedWhileAllWorkersFail(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	f.workers(6)
+	sick := true
+	round := func() {
+		f.now = f.now.Add(100 * time.Millisecond)
+		for i := range 6 {
+			ends := make(map[wire.TaskID]wire.RunEnd)
+			for id, r := range f.e.workers[node(i)].runs {
+				if sick && r.placedAt.Before(f.now) {
+					ends[id] = wire.EndFailed
+				}
+			}
+			f.report(node(i), func(r *wire.WorkerReport) {
+				for k, t := range r.Running {
+					if placed := f.e.workers[node(i)].runs[t.Task].placedAt; f.now.Sub(placed) > time.Second {
+						r.Running[k].Percent = 10
+					}
+				}
+			}, ends)
+		}
+		f.tick()
+	}
+	for i := range 40 {
+		f.e.Submit(f.job(fmt.Sprintf("j%d", i), 1, step(1, 1)), f.now)
+	}
+	kinds := func(kind string) int {
+		return len(slices.DeleteFunc(slices.Clone(f.decisions), func(d Decision) bool { return d.Kind != kind }))
+	}
+	round()
+	is.Equal(kinds("place"), 40) // nothing is known of the workers yet
+	round()
+	is.Equal(kinds("service_unhealthy"), 1)
+	before := kinds("place")
+	for range 50 { // 5 s
+		round()
+	}
+	is.True(kinds("place")-before <= 6) // one a second
+	sick = false
+	for range 50 {
+		round()
+	}
+	is.Equal(kinds("service_recovered"), 1)
+	is.True(kinds("place")-before >= 30) // the jobs that are left run
+}
--- a/core/job/service_health.go
+++ b/core/job/service_health.go
@@ -21,14 +21,21 @@
 	survivalTime       = 500 * time.Millisecond // several times what runs take that fail at once
 )
 
-func (h *serviceHealth) recordEarlyFailure(job string, now time.Time) {
+// recordServiceFailure counts a run of a job that has failed at once on a worker of a
+// service.
+func (e *Engine) recordServiceFailure(service, job string, now time.Time) {
+	h := e.service(service)
 	if h.jobs == 0 {
 		h.since = now
 	}
-	if job != h.lastJob {
-		h.jobs++
+	if job == h.lastJob {
+		return
 	}
+	h.jobs++
 	h.lastJob = job
+	if h.jobs == unhealthyThreshold {
+		e.recordDecision(Decision{Kind: "service_unhealthy", Job: job, Reason: service, Age: now.Sub(h.since)})
+	}
 }
 
 // service returns the health of a service.
@@ -44,9 +51,13 @@
 // checkSurvivors clears the early failures of services on which a later run goes on.
 func (e *Engine) checkSurvivors(now time.Time) {
 	for name, h := range e.services {
-		if h.jobs > 0 && e.hasSurvivor(name, h.since, now) {
-			h.jobs, h.lastJob = 0, ""
+		if h.jobs == 0 || !e.hasSurvivor(name, h.since, now) {
+			continue
+		}
+		if h.jobs >= unhealthyThreshold {
+			e.recordDecision(Decision{Kind: "service_recovered", Job: h.lastJob, Reason: name, Age: now.Sub(h.since)})
 		}
+		h.jobs, h.lastJob = 0, ""
 	}
 }
 
