--- a/io/worker/standin.go
+++ b/io/worker/standin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +42,8 @@
 	newestRuns map[wire.TaskID]int // latest run of each task that was stopped or has ended
 	ended      []wire.EndedRun
 	history    []StandinRun
-	acked      int // ends up to this number have been acknowledged
+	acked      map[int]bool // numbers of the ends acknowledged before the lease has lapsed
+	lapsedAt   time.Time    // when the lease was last renewed after it had lapsed
 	endNumber  int
 	starts     map[wire.TaskRun]int // number of starts of each run
 	endSignal  chan struct{}        // closed when a run may have ended
@@ -61,7 +63,7 @@
 	return &Standin{
 		cfg: cfg, start: time.Now(),
 		runs: make(map[wire.TaskID]*standinRun), newestRuns: make(map[wire.TaskID]int),
-		starts: make(map[wire.TaskRun]int), endSignal: make(chan struct{}),
+		starts: make(map[wire.TaskRun]int), endSignal: make(chan struct{}), acked: make(map[int]bool),
 	}
 }
 
@@ -219,7 +221,7 @@
 			}
 			s.endDueRuns(now)
 			s.extendLease(o.LeaseEnd, now)
-			s.dropAcked(o.Acked)
+			s.dropAcked(o.Acked, now)
 			reply, ends = s.reply(now), s.endSignal
 			return nil
 		})
@@ -261,6 +263,9 @@
 		end = limit
 	}
 	if until > 0 && end.After(s.leaseEnd) {
+		if now.After(s.leaseEnd) {
+			s.lapsedAt = now
+		}
 		s.leaseEnd = end
 	}
 }
@@ -304,7 +309,7 @@
 	wire.TaskRun
 	Started, Ended time.Time
 	Outcome        wire.RunEnd
-	Acked          bool // the end has been acknowledged
+	Acked          bool // the end has been acknowledged, and the lease had not lapsed since it
 
 	number int
 }
@@ -330,7 +335,7 @@
 	s.endDueRuns(now)
 	history := append([]StandinRun(nil), s.history...)
 	for i := range history {
-		history[i].Acked = history[i].number <= s.acked
+		history[i].Acked = s.acked[history[i].number]
 	}
 	for id, r := range s.runs {
 		history = append(history, StandinRun{TaskRun: wire.TaskRun{Task: id, Run: r.number}, Started: r.startedAt, Ended: now})
@@ -338,13 +343,17 @@
 	return history
 }
 
-func (s *Standin) dropAcked(acked int) {
-	s.acked = max(s.acked, acked)
+// dropAcked forgets the ends up to a number. If the lease has lapsed since an end, the
+// acknowledgement comes too late: the scheduler may have started the task again.
+func (s *Standin) dropAcked(acked int, now time.Time) {
 	kept := s.ended[:0]
 	for _, e := range s.ended {
 		if e.Number > acked {
 			kept = append(kept, e)
+			continue
 		}
+		i := slices.IndexFunc(s.history, func(r StandinRun) bool { return r.number == e.Number })
+		s.acked[e.Number] = !now.After(s.leaseEnd) && s.lapsedAt.Before(s.history[i].Ended)
 	}
 	s.ended = kept
 }
