--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -93,7 +93,7 @@
 func (e *Engine) addJob(row wire.Job, now time.Time) *Job {
 	row.Accepted = now.Add(-max(now.Sub(row.Accepted), 0))
 	j := &Job{Job: row, state: wire.JobQueued, durableState: wire.JobQueued, stages: make(map[stageKey]*stage),
-		openOccurrences: make(map[int]bool), doneOccurrences: make(map[int]bool)}
+		openOccurrences: make(map[int]bool), doneOccurrences: make(map[int]bool), earlyFailures: make(map[*Worker]struct{})}
 	e.jobs[row.ID] = j
 	e.jobList = append(e.jobList, j)
 	if row.RepeatCount == 0 {
--- a/core/job/health.go
+++ b/core/job/health.go
@@ -47,7 +47,7 @@
 type failure struct {
 	job    string
 	early  bool // it failed at once, or hung
-	blamed bool // the worker is the likely cause of an early failure
+	blamed bool // it was early, and the worker is the likely cause
 	probe  bool // the run was the worker's probe
 }
 
@@ -60,7 +60,7 @@
 	}
 	h.lastFailedJob, h.lastFailure = f.job, now
 	h.unproven = h.unproven || f.early
-	h.suspect = h.suspect || f.early && f.blamed
+	h.suspect = h.suspect || f.blamed
 	if h.failures >= ejectThreshold && !now.Before(h.ejectedUntil) { // runs that fail together count as one
 		h.ejectionPeriod = min(max(2*h.ejectionPeriod, firstEjection), maxEjection)
 		h.ejectedUntil = now.Add(h.ejectionPeriod)
@@ -124,18 +124,14 @@
 func (e *Engine) recordRunFailure(r *run, early bool, now time.Time) {
 	t, w, j := r.task, r.worker, r.task.stage.job
 	if early {
-		if j.earlyFailures == nil {
-			j.earlyFailures = make(map[*Worker]struct{})
-		}
 		j.earlyFailures[w] = struct{}{}
-		if len(j.earlyFailures) <= maxBlamedWorkers {
-			e.recordServiceFailure(w.Service, j.ID, now)
-		}
+	}
+	blamed := early && len(j.earlyFailures) <= maxBlamedWorkers
+	if blamed {
+		e.recordServiceFailure(w.Service, j.ID, now)
 	}
 	before := w.health
-	w.health.recordFailure(failure{
-		job: j.ID, early: early, blamed: len(j.earlyFailures) <= maxBlamedWorkers, probe: w.health.probe == r,
-	}, now)
+	w.health.recordFailure(failure{job: j.ID, early: early, blamed: blamed, probe: w.health.probe == r}, now)
 	t.failedOn, t.lastFailed = w, lastFailure{at: now, early: early}
 	switch after := &w.health; {
 	case after.ejectedUntil.After(before.ejectedUntil):
--- a/core/job/service_health.go
+++ b/core/job/service_health.go
@@ -7,12 +7,13 @@
 )
 
 // serviceHealth counts the jobs whose runs have failed at once, one after the other,
-// on any worker of a service.
+// on any worker of a service. It starts over when a run placed since the first of
+// these failures has survived.
 type serviceHealth struct {
-	jobs      int // since a run placed after firstFailure has survived
+	jobs      int // with a failure
 	lastJob   string
-	since     time.Time // first failure
-	nextProbe time.Time // while the service is unhealthy
+	since     time.Time // the first failure
+	nextProbe time.Time // no run is placed before while the service is unhealthy
 }
 
 // Limits of the health of a service.
@@ -61,6 +62,8 @@
 	}
 }
 
+// hasSurvivor reports whether the workers of a service list a run that was placed after
+// a time and has gone on for survivalTime.
 func (e *Engine) hasSurvivor(service string, since, now time.Time) bool {
 	for _, w := range e.sortedWorkers {
 		if w.Service != service {
