--- a/core/job/fit.go
+++ b/core/job/fit.go
@@ -17,13 +17,12 @@
 // nil if they do not fit.
 func (e *Engine) fitGang(s *stage, c []candidate, n int, now time.Time) []*Worker {
 	required := e.requiredEvidence(s, s.failures, s.lastFailed, now)
-	for _, level := range []evidence{notUnproven, required} {
-		admitted := slices.DeleteFunc(slices.Clone(c), func(x candidate) bool { return !x.satisfies(max(level, required), s.lastFailed.at) })
-		if chosen := e.fitGangNear(s, admitted, n, now); chosen != nil {
-			return chosen
-		}
+	preferred := max(required, notUnproven)
+	known := slices.DeleteFunc(slices.Clone(c), func(x candidate) bool { return !x.satisfies(preferred, s.lastFailed.at) })
+	if chosen := e.fitGangNear(s, known, n, now); chosen != nil || required == preferred {
+		return chosen
 	}
-	return nil
+	return e.fitGangNear(s, c, n, now) // required is noEvidence
 }
 
 // fitGangNear chooses workers for the n tasks of a gang regardless of the workers'
