--- a/io/caller/admission.go
+++ b/io/caller/admission.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,18 @@
 // of the limit is subtracted, so that something is left of a short one.
 const revocationMargin = 1500 * time.Millisecond
 
+// defaultRevocationLimit applies if the settings name none.
+const defaultRevocationLimit = 5 * time.Second
+
+// RevocationLimit returns the limit in force for the limit that the settings name, or
+// 0 if there is none.
+func RevocationLimit(named time.Duration, strict bool) time.Duration {
+	if !strict {
+		return 0
+	}
+	return cmp.Or(named, defaultRevocationLimit)
+}
+
 // maxConfigAge returns the greatest age of a configuration that admits requests.
 func maxConfigAge(revocationLimit time.Duration) time.Duration {
 	return revocationLimit - min(revocationMargin, revocationLimit/2)
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -119,7 +119,7 @@
 		return err
 	}
 	if e, ok := p.process.(*jobEntry); ok {
-		e.admission.SetRevocationLimit(s.RevocationLimit)
+		e.admission.SetRevocationLimit(caller.RevocationLimit(s.RevocationLimit, s.RevocationStrict))
 	}
 	if *s != p.settings {
 		p.log.Info().Stringer("store", s.Store).Stringer("callers", s.Callers).Dur("revocation_limit", s.RevocationLimit).Msg("settings_changed")
@@ -152,11 +152,12 @@
 	if limit := time.Duration(maxNoticeFraction * float64(s.TerminationGrace)); limit > 0 {
 		p.notice = min(p.notice, limit)
 	}
+	revocationLimit := caller.RevocationLimit(s.RevocationLimit, s.RevocationStrict)
 	p.catalog = caller.WatchCatalog(caller.CatalogConfig{
 		Store: store, Health: health, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey,
-		PollWait: caller.PollWait(s.RevocationLimit), Decode: adapter.DecodeConfiguration,
+		PollWait: caller.PollWait(revocationLimit), Decode: adapter.DecodeConfiguration,
 	})
-	p.admission = caller.NewAdmissionController(p.catalog, health, s.RevocationLimit)
+	p.admission = caller.NewAdmissionController(p.catalog, health, revocationLimit)
 	var advise func(ctx context.Context, q job.AdviceRequest) (map[string]string, error)
 	if s.Advice.IsValid() {
 		advise = adapter.NewAdviceClient(s.Advice)
