Review: a liveness report of another writer takes a worker out for good

Cause: the agent adopts any report with a higher born as a new lifetime of its worker. Nothing is fixed.

--- a/review/_lab/case_reborn.go
+++ b/review/_lab/case_reborn.go
@@ -12,7 +12,7 @@
 	rebornTraffic = 16 * time.Second
 )
 
-func init() { scenarios["reborn"] = scenario{entries: 3, workers: 3, gpus: 8, play: playReborn} }
+func init() { scenarios["reborn"] = scenario{entries: 3, workers: 5, gpus: 8, play: playReborn} }
 
 // playReborn cuts the liveness reports of one worker, which crashes behind the cut and
 // starts again under its id. Orders reach it all the while.
--- a/review/_lab/system.go
+++ b/review/_lab/system.go
@@ -88,6 +88,9 @@
 	tenants = 2
 )
 
+// kinds are the kinds of the workers, which are their first labels.
+var kinds = []string{"a", "a", "b"}
+
 // queues are the routes of the deployment, by priority.
 var queues = []string{"/uv/", "/scan/", "/cert/"}
 
@@ -124,7 +127,7 @@
 	s.configure()
 	for i := range workers {
 		w := &worker{rec: rec, id: fmt.Sprintf("i-%016x", 0x7f3a91c2+i), service: service, zone: "harju-ulemiste",
-			labels: []string{"a", fmt.Sprint("r1-", i/3+1)}, addr: "127.0.0.1:0", gpus: gpus}
+			labels: []string{kinds[i%len(kinds)], fmt.Sprint("r1-", i/3+1)}, addr: "127.0.0.1:0", gpus: gpus}
 		p, err := s.addProcess("agent", fmt.Sprint("side-", i+1), w)
 		if err != nil {
 			return s, err
--- a/review/_lab/worker.go
+++ b/review/_lab/worker.go
@@ -73,6 +73,7 @@
 	history  []*run
 	cut      bool // its liveness reports do not arrive
 	failAll  bool // every run fails at once
+	busy     bool // starts are answered by 503
 	server   *http.Server
 	stopBeat chan struct{}
 	state    string
@@ -255,6 +256,9 @@
 }
 
 func (w *worker) runStart(life *lifetime, o *order, now time.Time) (int, string) {
+	if w.busy {
+		return http.StatusServiceUnavailable, ""
+	}
 	if !life.clock.Add(time.Duration(o.UntilMs) * time.Millisecond).After(now) {
 		return http.StatusConflict, "late"
 	}
