--- a/review/_lab/rules.go
+++ b/review/_lab/rules.go
@@ -21,10 +21,10 @@
 		for i := range list {
 			for j := range list {
 				a, b := &list[i], &list[j]
-				if i == j || b.start.Before(a.start) {
+				if i == j || b.start.Before(a.start) || b.start.Equal(a.start) && i > j {
 					continue
 				}
-				if i < j && b.start.Before(a.end) {
+				if b.start.Before(a.end) {
 					breaches = append(breaches, fmt.Sprintf("TWICE at the same time: %v from %.3f to %.3f, %v from %.3f to %.3f",
 						a, rec.at(a.start), rec.at(a.end), b, rec.at(b.start), rec.at(b.end)))
 				}
--- a/review/_lab/store.go
+++ b/review/_lab/store.go
@@ -63,6 +63,8 @@
 	net.Listener
 	node string
 
+	view func(r row) row // changes the rows that the process reads; may be nil
+
 	mu    sync.Mutex
 	chans map[string]*channel // by remote address
 }
@@ -130,6 +132,17 @@
 	return n
 }
 
+// viewOf returns the rows as the process reads them.
+func (d *door) viewOf(rows []row) []row {
+	if d.view == nil {
+		return rows
+	}
+	for i := range rows {
+		rows[i] = d.view(rows[i])
+	}
+	return rows
+}
+
 // open serves the store to one process on an address of its own.
 func (s *store) open(node string) (*door, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -139,8 +152,8 @@
 	d := &door{Listener: l, node: node, chans: make(map[string]*channel)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/rows-tx", func(w http.ResponseWriter, r *http.Request) { s.serveTx(node, w, r) })
-	mux.HandleFunc("GET /-/rows-get", s.serveGet)
-	mux.HandleFunc("GET /-/rows-feed", s.serveFeed)
+	mux.HandleFunc("GET /-/rows-get", func(w http.ResponseWriter, r *http.Request) { s.serveGet(d, w, r) })
+	mux.HandleFunc("GET /-/rows-feed", func(w http.ResponseWriter, r *http.Request) { s.serveFeed(d, w, r) })
 	go func() {
 		_ = http.Serve(d, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			d.mu.Lock()
@@ -235,7 +248,7 @@
 	return http.StatusOK, nil, s.ver
 }
 
-func (s *store) serveGet(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveGet(d *door, w http.ResponseWriter, r *http.Request) {
 	time.Sleep(txTime)
 	q := r.URL.Query()
 	from, to := q.Get("From"), q.Get("To")
@@ -249,10 +262,10 @@
 	ver := s.ver
 	s.mu.Unlock()
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
-	s.answer(w, http.StatusOK, rows, ver)
+	s.answer(w, http.StatusOK, d.viewOf(rows), ver)
 }
 
-func (s *store) serveFeed(w http.ResponseWriter, r *http.Request) {
+func (s *store) serveFeed(d *door, w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("After"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("WaitMs"))
@@ -270,7 +283,7 @@
 		s.mu.Unlock()
 		if len(rows) > 0 {
 			time.Sleep(txTime)
-			s.answer(w, http.StatusOK, rows, ver)
+			s.answer(w, http.StatusOK, d.viewOf(rows), ver)
 			return
 		}
 		select {
