--- a/review/_lab/case_handover.go
+++ b/review/_lab/case_handover.go
@@ -135,10 +135,6 @@
 		return nil, err
 	}
 	id := newID()
-	filler := jobBody("1000:scan", map[string]any{"Count": 2, "Cpu": 13000, "MemMb": 26000, "Gpu": 8, "EstimatedMs": 1000, "Requirements": "a"})
-	if status, _ := s.call(at, "POST", queues[1]+newID(), filler, 3*time.Second); status != http.StatusOK {
-		return nil, fmt.Errorf("the filling job is answered by %d", status)
-	}
 	for i := range 24 { // small work on the same worker, of which some ends every 150 ms
 		ms := 600 + 150*i
 		small := jobBody(fmt.Sprint(ms, ":certificate"), map[string]any{"Count": 1, "Cpu": 100, "MemMb": 100, "EstimatedMs": ms, "Requirements": "b"})
@@ -146,6 +142,10 @@
 			return nil, fmt.Errorf("a small job is answered by %d", status)
 		}
 	}
+	filler := jobBody("1000:scan", map[string]any{"Count": 2, "Cpu": 13000, "MemMb": 26000, "Gpu": 8, "EstimatedMs": 1000, "Requirements": "a"})
+	if status, _ := s.call(at, "POST", queues[1]+newID(), filler, 3*time.Second); status != http.StatusOK {
+		return nil, fmt.Errorf("the filling job is answered by %d", status)
+	}
 	if trouble {
 		l.job.Store(id)
 		var done atomic.Bool
