Keep the cancellation of a job whose submission has no outcome yet

Cause: the scheduler's transaction with a new job had no answer; an entry stored the job and then its cancellation. The watch of the job table returned both rows while the engine knew the job as a submission: the job's row was skipped, the cancellation applied to the submission. The transaction then failed since the row exists; the submission was withdrawn with its cancellation, and the job restored from its row alone. The watch does not return a row twice.

Ruled out: the cancellation not written or not returned by the watch; the new log line cancellation_read shows it, known=true stored=false, before submission outcome=known_already. A restored job that ignores a cancellation: the following scheduler applied it.

Change: a submission keeps the rows of its job that are read while it has no outcome. When it is withdrawn, the engine gets them again, under the same lock, so that no row falls in between. A row is thus either applied to a job that is stored or kept.

--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -196,16 +196,14 @@
 			return nil
 		case errors.As(err, &exist) && len(submitted) > 0:
 			present := withExistingRows(submitted, exist.Rows)
-			h.withdraw(batch, present, wire.SubmitKnown)
-			h.restoreStored(exist.Rows)
-
+			h.withdraw(batch, present, exist.Rows, wire.SubmitKnown)
 			submitted = slices.DeleteFunc(submitted, func(s *submission) bool { return slices.Contains(present, s) })
 			if len(present) == 0 { // the store did not return the existing rows
-				h.withdraw(batch, submitted, wire.SubmitUnknown)
+				h.withdraw(batch, submitted, nil, wire.SubmitUnknown)
 				submitted = nil
 			}
 		case errors.As(err, &rejected):
-			h.withdraw(batch, submitted, wire.SubmitDeclined)
+			h.withdraw(batch, submitted, nil, wire.SubmitDeclined)
 			submitted = nil
 		default:
 			h.finishAll(submitted, wire.SubmitUnknown)
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -22,6 +22,7 @@
 	job        wire.Job
 	row        []byte
 	receivedAt time.Time
+	rows       []platform.Row // of the job, read from the job table since then
 	outcome    wire.SubmitOutcome
 	done       chan struct{} // closed when outcome is set
 }
@@ -127,15 +128,21 @@
 }
 
 // withdraw removes jobs that were not committed from the engine and the batch,
-// and completes their submissions.
-func (h *holder) withdraw(b *job.Batch, submissions []*submission, outcome wire.SubmitOutcome) {
+// and completes their submissions. An entry may have stored some of these jobs
+// itself: withdraw adds them again from existing and from the rows that were read
+// while the engine knew them as submissions, since the watch of the job table does
+// not return those rows again.
+func (h *holder) withdraw(b *job.Batch, submissions []*submission, existing []platform.Row, outcome wire.SubmitOutcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.recoverPanic()
 	for _, s := range submissions {
 		h.engine.Withdraw(s.job.ID, b)
 		h.finish(s, outcome)
+		existing = append(existing, s.rows...)
 	}
+	h.restoreRows(existing, nil)
+	h.requestRound()
 }
 
 // withExistingRows returns the submissions whose rows exist already.
--- a/io/scheduler/tables.go
+++ b/io/scheduler/tables.go
@@ -57,26 +57,43 @@
 	}
 }
 
-// applyJobRows adds rows of the job table to the engine. A cancellation row
-// may come before or after the row of its job.
+// applyJobRows adds rows of the job table to the engine.
 func (h *holder) applyJobRows(c platform.Changes, states map[string]*wire.JobProgress) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer h.recoverPanic()
+	for _, row := range c.Rows {
+		if s := h.unfinished[jobOfRow(row)]; s != nil {
+			s.rows = append(s.rows, row)
+		}
+	}
+	h.restoreRows(c.Rows, states)
+	h.jobsRevision = c.Revision
+}
+
+// restoreRows adds rows of the job table to the engine. A cancellation row may
+// come before or after the row of its job. The caller holds mu.
+func (h *holder) restoreRows(rows []platform.Row, states map[string]*wire.JobProgress) {
 	now := time.Now()
 	var cancelled []string
-	for _, row := range c.Rows {
-		key := strings.TrimPrefix(row.Key, TableJob+"/")
-		if id, ok := strings.CutSuffix(key, CancelSuffix); ok {
+	for _, row := range rows {
+		id := jobOfRow(row)
+		if strings.HasSuffix(row.Key, CancelSuffix) {
 			cancelled = append(cancelled, id)
 		} else if !row.Deleted {
-			h.restoreJob(row, states[key], now)
+			h.restoreJob(row, states[id], now)
 		}
 	}
 	for _, id := range cancelled {
+		_, state, known := h.engine.State(id)
+		h.cfg.Log.Info().Str("job", id).Bool("known", known).Bool("stored", known && h.unfinished[id] == nil).Str("state", string(state)).Msg("cancellation_read")
 		h.engine.Cancel(id, now)
 	}
-	h.jobsRevision = c.Revision
+}
+
+// jobOfRow returns the ID of the job that a row of the job table belongs to.
+func jobOfRow(row platform.Row) string {
+	return strings.TrimSuffix(strings.TrimPrefix(row.Key, TableJob+"/"), CancelSuffix)
 }
 
 // restoreJob adds the job of one row to the engine. A known job is left
@@ -94,19 +111,6 @@
 	h.cfg.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Dur("age", now.Sub(j.Accepted)).Msg("job_taken_in")
 }
 
-// restoreStored adds jobs whose rows an entry wrote first. The watch of the
-// job table may have skipped them, since the engine knew them as submissions
-// at that time.
-func (h *holder) restoreStored(rows []platform.Row) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	defer h.recoverPanic()
-	for _, row := range rows {
-		h.restoreJob(row, nil, time.Now())
-	}
-	h.requestRound()
-}
-
 // watchJobs adds the jobs and cancellations that entries write to the job
 // table.
 func (h *holder) watchJobs(ctx context.Context) {
--- a/io/worker/submit_test.go
+++ b/io/worker/submit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -94,6 +95,66 @@
 	is.Equal(len(s.starts()), 3)
 }
 
+// TestCancellationOfPendingSubmission guards against a forgotten cancellation. An
+// entry stores a job and its cancellation while the scheduler's own transaction
+// with the job has no outcome, and the scheduler withdraws its submission.
+func TestCancellationOfPendingSubmission(t *testing.T) {
+	tests := map[string]struct {
+		commitsRefused bool // the scheduler's transaction is never applied
+		cancelled      bool
+		want           wire.JobState
+	}{
+		"row exists, cancelled": {cancelled: true, want: wire.JobCancelled},
+		"row exists":            {want: wire.JobCompleted},
+		"transaction of scheduler lost, cancelled": {commitsRefused: true, cancelled: true, want: wire.JobCancelled},
+		"transaction of scheduler lost":            {commitsRefused: true, want: wire.JobCompleted},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSystem(t, 1, 1)
+			s.submit("first", "", tasks(1))
+			s.waitState("first", wire.JobCompleted)
+			store := s.store.Store()
+			commit := func(t platform.Txn) {
+				_, err := store.Commit(context.Background(), t)
+				is.NoErr(err)
+			}
+			var once sync.Once
+			before := func(t platform.Txn) {
+				i := slices.IndexFunc(t.Writes, func(w platform.Write) bool { return w.Key == "job/j" })
+				if i < 0 {
+					return
+				}
+				once.Do(func() {
+					s.links[0].commitsRefused.Store(tt.commitsRefused)
+					commit(platform.Txn{Writes: t.Writes[i : i+1]})
+					if tt.cancelled {
+						commit(platform.Txn{Writes: []platform.Write{{Key: "job/j.cancel", Value: []byte{1}}}})
+					}
+					time.Sleep(100 * time.Millisecond) // until the scheduler's watch of the job table has returned the rows
+				})
+			}
+			s.links[0].before.Store(&before)
+			answer, err := s.entries[0].Call(context.Background(), &wire.SubmitJob{Job: wire.Job{
+				ID: "j", Queue: "q", Service: "podcheck", Attempts: 3, Stretch: 3, Accepted: time.Now(), Steps: []wire.JobStep{tasks(2)},
+			}})
+			is.NoErr(err)
+			if a := answer.(*wire.SubmitAnswer); tt.commitsRefused {
+				is.Equal(a.Outcome, wire.SubmitDeclined)
+			} else {
+				is.Equal(a.Outcome, wire.SubmitKnown)
+			}
+			s.links[0].commitsRefused.Store(false)
+			s.waitState("j", tt.want)
+			if tt.cancelled {
+				is.Equal(len(s.starts()), 1)
+			}
+		})
+	}
+}
+
 // TestEntryWithoutStoreSubmitsThroughSuccessor cuts the scheduling entry off
 // from the store for good. It must forward submissions to the entry that takes
 // over.
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -31,6 +31,8 @@
 	cut    atomic.Bool                          // calls are refused
 	silent atomic.Bool                          // calls get no response
 	before atomic.Pointer[func(t platform.Txn)] // called before each commit
+
+	commitsRefused atomic.Bool // commits are refused, reads are served
 }
 
 func (l *storeLink) Store() platform.Store {
@@ -59,6 +61,9 @@
 		if before := l.before.Load(); before != nil {
 			(*before)(t)
 		}
+		if l.commitsRefused.Load() {
+			return 0, &platform.UnavailableError{Op: "refused"}
+		}
 		return l.store.Commit(ctx, t)
 	}
 	s.Watch = func(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
