Adopt a lifetime of a worker only if the worker confirms it

Cause: an agent adopted every readable announcement with a later start time as a new lifetime of its worker. After one announcement of another writer it ignored the worker's own ones as older, and called the worker under an id that it refuses.

Ruled out: a lost link or fencing token: the agent's calls were answered by 421, not by 409. The agent's log did not show ignored announcements above debug level; it does now (announcement_ignored reason=, bramleythread_ignored_announcements_total).

Change: announcements of services that no configuration names are ignored; the agent reads the configuration when it meets an unknown name, at most once a second. A new lifetime is adopted after the worker has answered a hold call that names it and renews nothing: a foreign id is refused, a foreign start time shows in the answer. An unanswered call is repeated. A worker that leaves before it could confirm is gone once it refuses connections.

--- a/core/job/catalog.go
+++ b/core/job/catalog.go
@@ -11,6 +11,7 @@
 type Catalog struct {
 	Version    uint64
 	Queues     []Queue
+	Services   []string          // may repeat a name
 	Customers  map[string]string // by token digest
 	Guaranteed map[string]int    // accelerators by customer
 	BodyLimit  int64             // of a request, in bytes
--- a/io/caller/job_http.go
+++ b/io/caller/job_http.go
@@ -61,6 +61,7 @@
 		if s.Disabled {
 			continue
 		}
+		c.Services = append(c.Services, s.Name)
 		c.Queues = append(c.Queues, job.Queue{
 			Name: s.Name, Prefix: queuesPath + s.Name + jobsPath, Service: s.Name, Stretch: 1,
 			Priority: map[config.Priority]int{config.Urgent: 0, config.Normal: 1, config.Batch: 2}[s.Priority],
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -244,9 +244,9 @@
 
 func startJobAgent(s *adapter.Settings, log zerolog.Logger) (*jobAgent, error) {
 	registry := newRegistry()
-	health := platform.NewHealth(adapter.NewStoreClient(s.Store), log, registry)
+	store := platform.NewHealth(adapter.NewStoreClient(s.Store), log, registry).MonitoredStore()
 	p := &jobAgent{agent: worker.Start(worker.Config{
-		Node: s.Node, Zone: s.Zone, Store: health.MonitoredStore(), Worker: adapter.NewWorkerClient(s.Worker),
+		Node: s.Node, Zone: s.Zone, Store: store, Worker: adapter.NewWorkerClient(s.Worker), Services: configuredServices(store),
 		Log: log, Metrics: worker.NewMetrics(prometheus.WrapRegistererWith(nil, registry)),
 	})}
 	mux := newMux(registry, func() bool { return true })
@@ -268,6 +268,22 @@
 	return p, nil
 }
 
+// configuredServices returns a function that reads the names of the services in
+// the operators' configuration.
+func configuredServices(store platform.Store) func(ctx context.Context) ([]string, error) {
+	return func(ctx context.Context) ([]string, error) {
+		row, err := store.Get(ctx, adapter.ConfigurationKey)
+		if err != nil || row.Revision == 0 {
+			return nil, err
+		}
+		c, err := adapter.DecodeConfiguration(row.Value)
+		if err != nil {
+			return nil, err
+		}
+		return c.Services, nil
+	}
+}
+
 // stop ends the agent immediately: its worker's lease is longer than a restart
 // takes.
 func (p *jobAgent) stop() { p.kill() }
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -35,6 +35,10 @@
 	// BootTime measures the time since the VM's boot. If it is nil,
 	// platform.BootTime does.
 	BootTime func() time.Duration
+
+	// Services reads the names of the services in the operators'
+	// configuration. If it is nil, workers of any service are accepted.
+	Services func(ctx context.Context) ([]string, error)
 }
 
 // Agent connects one worker to the scheduler. No other process calls the
@@ -53,14 +57,17 @@
 	downCalls      int  // consecutive hold calls that found no worker process; used by holdLoop only
 	lastHoldFailed bool // the last call of holdLoop failed
 
+	services services
+
 	mu               sync.Mutex
 	conn             *frame.Conn // to the scheduler whose orders apply
 	ordered          bool        // the first orders of conn, with their token, have arrived
 	info             wire.WorkerInfo
-	announceSequence uint64        // of the latest announcement
-	clock            time.Duration // latest reading of the worker's clock
-	clockAt          time.Time     // when it was received
-	lifetime         uint64        // number of lifetimes of the worker since this agent started
+	candidates       map[lifetimeID]candidate // announced lifetimes that the worker has not confirmed
+	announceSequence uint64                   // of the latest announcement
+	clock            time.Duration            // latest reading of the worker's clock
+	clockAt          time.Time                // when it was received
+	lifetime         uint64                   // number of lifetimes of the worker since this agent started
 	orders           wire.WorkerOrders
 	sequence         uint64    // of the latest report
 	polled           bool      // the worker has been polled in this connection and lifetime
@@ -96,6 +103,7 @@
 		refused:        make(map[wire.TaskRun]string),
 		pending:        make(map[wire.TaskRun]*pending),
 		pacer:          pacer{applied: make(map[wire.TaskRun]paced)},
+		candidates:     make(map[lifetimeID]candidate),
 	}
 	a.link = scheduler.NewLink(scheduler.LinkConfig{
 		Local:  wire.Hello{Role: wire.RoleAgent, Name: cfg.Node},
@@ -129,47 +137,6 @@
 // Done returns a channel that is closed when the agent has stopped.
 func (a *Agent) Done() <-chan struct{} { return a.done }
 
-// Announce applies an announcement of the worker. It returns false for one
-// that is older than the latest one applied.
-func (a *Agent) Announce(n Announcement) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if n.Born < a.info.Born || n.Born == a.info.Born && n.Instance == a.info.Instance && n.Sequence <= a.announceSequence {
-		return false
-	}
-	state := a.info.State
-	if n.Instance != a.info.Instance || n.Born != a.info.Born {
-		a.resetLifetime(n.WorkerInfo)
-		state = ""
-	}
-	a.info, a.announceSequence = n.WorkerInfo, n.Sequence
-	a.setClock(n.Clock, time.Now())
-	if state != n.State {
-		a.cfg.Log.Info().Str("instance", n.Instance).Str("state", string(n.State)).Dur("remaining", n.Remaining).Msg("worker_state")
-		a.report()
-	}
-	return true
-}
-
-// WorkerLeft records that a worker has announced its end. born identifies the
-// lifetime that ends, or is 0 if the announcement does not name it. Such an
-// announcement counts only for a draining worker: it may have been delayed until
-// the worker has started again under the same id.
-func (a *Agent) WorkerLeft(instance string, born int64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if instance != a.info.Instance || a.info.State == wire.WorkerGone {
-		return
-	}
-	if born != 0 && born != a.info.Born || born == 0 && a.info.State != wire.WorkerDraining {
-		a.cfg.Log.Info().Str("instance", instance).Int64("born", born).Int64("present", a.info.Born).Str("state", string(a.info.State)).Msg("leave_ignored")
-		return
-	}
-	a.info.State = wire.WorkerGone
-	a.cfg.Log.Info().Str("instance", instance).Msg("worker_left")
-	a.report()
-}
-
 // resetLifetime discards the state of an earlier lifetime of the worker.
 func (a *Agent) resetLifetime(info wire.WorkerInfo) {
 	a.lifetime++
--- /dev/null
+++ b/io/worker/announce_test.go
@@ -0,0 +1,147 @@
+package worker_test
+
+import (
+	"context"
+	"math"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"bramleythread/io/platform"
+	"bramleythread/io/wire"
+	"bramleythread/io/worker"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// TestAnnouncementsOfOtherWritersAreIgnored guards against an announcement of
+// another writer that displaces the worker's own lifetime. The worker must go on
+// to get its orders.
+func TestAnnouncementsOfOtherWritersAreIgnored(t *testing.T) {
+	own := wire.WorkerInfo{Instance: "i-1", Born: 5, Service: "s", State: wire.WorkerReady}
+	tests := map[string]struct {
+		change  func(n *worker.Announcement)
+		atStart bool // it arrives before the first announcement of the worker
+	}{
+		"service that is not configured, other id": {change: func(n *worker.Announcement) {
+			n.Instance, n.Born, n.Service = "i-2", 6, "other"
+		}},
+		"service that is not configured, same lifetime": {change: func(n *worker.Announcement) {
+			n.Service, n.Sequence = "other", math.MaxUint64
+		}},
+		"configured service, other id": {change: func(n *worker.Announcement) {
+			n.Instance, n.Born = "i-2", 6
+		}},
+		"configured service, same id, later lifetime": {change: func(n *worker.Announcement) {
+			n.Born = math.MaxInt64
+		}},
+		"configured service, other id, at the agent's start": {atStart: true, change: func(n *worker.Announcement) {
+			n.Instance, n.Born = "i-2", 6
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := platform.NewStandin().Store()
+			s := newScriptedScheduler(t, store)
+			standin := worker.NewStandin(worker.StandinConfig{Info: own, MaxLease: 6 * time.Second, StopDelay: time.Millisecond})
+			a := worker.Start(worker.Config{
+				Node: "side-1", Store: store, Worker: standin.Worker(), Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+				Services: func(context.Context) ([]string, error) { return []string{"s"}, nil },
+			})
+			defer a.Close()
+			foreign := standin.Announcement(2)
+			tt.change(&foreign)
+			wait := func(ok func() bool, what string) {
+				t.Helper()
+				for end := time.Now().Add(testTimeout); !ok(); time.Sleep(5 * time.Millisecond) {
+					if time.Now().After(end) {
+						t.Fatal(what)
+					}
+				}
+			}
+			if tt.atStart {
+				a.Announce(foreign)
+			}
+			conn := <-s.conns
+			orders := &wire.WorkerOrders{Sequence: 1, Epoch: 1, Token: 1 << 8, Instance: own.Instance, Born: own.Born}
+			is.NoErr(conn.Send(orders))
+			is.True(a.Announce(standin.Announcement(1)))
+			wait(func() bool { return s.reports.Load() > 0 }, "no report")
+			if !tt.atStart {
+				a.Announce(foreign)
+				time.Sleep(50 * time.Millisecond) // until the worker has been asked about it
+			}
+			is.True(a.Announce(standin.Announcement(3)))
+			wait(func() bool { r := s.last.Load(); return r != nil && r.Worker.Instance == own.Instance }, "no report on the worker")
+
+			run := wire.TaskRun{Task: wire.TaskID{Job: "j"}, Run: 1}
+			orders.Sequence, orders.LastReportSent = 2, s.last.Load().Sent
+			orders.Starts = []wire.StartTask{{Task: run.Task, Run: run.Run, Spec: "1m"}}
+			is.NoErr(conn.Send(orders))
+			wait(func() bool { return standin.StartCounts()[run] == 1 }, "the run is not started")
+			is.Equal(s.last.Load().Worker.Service, own.Service)
+		})
+	}
+}
+
+// TestAnnouncedServiceIsReadAgain announces a service that is added to the
+// configuration later, and one while the configuration cannot be read.
+func TestAnnouncedServiceIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStandin().Store()
+	var names []string
+	err := error(&platform.UnavailableError{Op: "get"})
+	standin := worker.NewStandin(worker.StandinConfig{Info: wire.WorkerInfo{Instance: "i-1", Born: 5, Service: "s", State: wire.WorkerReady}})
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: store, Worker: standin.Worker(), Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+		Services: func(context.Context) ([]string, error) { return names, err },
+	})
+	defer a.Close()
+	is.True(!a.Announce(standin.Announcement(1))) // not readable
+	err = nil
+	is.True(!a.Announce(standin.Announcement(2))) // not named
+	names = []string{"s"}
+	for end := time.Now().Add(testTimeout); !a.Announce(standin.Announcement(3)); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the service is not read again")
+		}
+	}
+}
+
+// TestLeaveBeforeLifetimeIsConfirmed ends a worker before it has confirmed its
+// lifetime to a restarted agent. The end must be reported all the same.
+func TestLeaveBeforeLifetimeIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStandin().Store()
+	s := newScriptedScheduler(t, store)
+	var down atomic.Bool
+	w := worker.Worker{Hold: func(context.Context, worker.HoldRequest) (worker.HoldReply, error) {
+		if down.Load() {
+			return worker.HoldReply{}, &worker.DownError{Cause: syscall.ECONNREFUSED}
+		}
+		return worker.HoldReply{}, &worker.RefusedError{Reason: "fence"}
+	}}
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: store, Worker: w, Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+	})
+	defer a.Close()
+	is.True(a.Announce(worker.Announcement{WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: 5, State: wire.WorkerDraining}, Sequence: 1}))
+	a.WorkerLeft("i-1", 5)
+	down.Store(true)
+	conn := <-s.conns
+	is.NoErr(conn.Send(&wire.WorkerOrders{Sequence: 1, Epoch: 1, Token: 1 << 8}))
+	for end := time.Now().Add(testTimeout); ; time.Sleep(5 * time.Millisecond) {
+		if r := s.last.Load(); r != nil {
+			is.Equal(r.Worker.Instance, "i-1")
+			is.Equal(r.Worker.State, wire.WorkerGone)
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the end of the worker is not reported")
+		}
+	}
+}
--- a/io/worker/metrics.go
+++ b/io/worker/metrics.go
@@ -7,6 +7,7 @@
 	running prometheus.Gauge
 	unacked prometheus.Gauge
 	reports prometheus.Counter
+	ignored *prometheus.CounterVec
 }
 
 // NewMetrics registers an agent's metrics.
@@ -15,8 +16,9 @@
 		running: prometheus.NewGauge(prometheus.GaugeOpts{Name: "bramleythread_runs", Help: "Runs on the worker."}),
 		unacked: prometheus.NewGauge(prometheus.GaugeOpts{Name: "bramleythread_unacknowledged_ends", Help: "Ends that the scheduler has not recorded yet."}),
 		reports: prometheus.NewCounter(prometheus.CounterOpts{Name: "bramleythread_worker_reports_total", Help: "Reports to the scheduler."}),
+		ignored: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bramleythread_ignored_announcements_total", Help: "Announcements that were not applied, by reason."}, []string{"reason"}),
 	}
-	r.MustRegister(m.running, m.unacked, m.reports)
+	r.MustRegister(m.running, m.unacked, m.reports, m.ignored)
 	return m
 }
 
