Answer every request before a stopping entry closes its link

Cause: the stop closed the entry's part in the election, and with it the link to the scheduler, 2.5 s before its listeners, and such a request is answered by the scheduler only. The requests in flight then had 2 s, less than they may wait.

Ruled out: a slow or missing scheduler: the other entries answered meanwhile; the channel being closed as idle: the requests had been read.

Change: Candidate.Resign releases the lease for good and keeps the link, also to the following schedulers, until Close. The stop resigns first and closes last. Requests in flight get what the platform allows for a stop, less the notice and 0.5 s, and 0.3 s before that their contexts end, so that each is answered, whatever it waits for. The stop also no longer waits for the release of the lease before its notice begins, which could take it beyond the time that the platform allows. Candidate.step is split.

--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -30,7 +30,8 @@
 	memoryLimitFraction = 0.8                     // of the memory that the platform allows
 	drainNotice         = 2500 * time.Millisecond // two missed readiness probes, which are 1 s apart
 	maxNoticeFraction   = 0.45                    // of the time that the platform allows for a stop
-	drainLimit          = 2 * time.Second         // for requests in flight
+	drainLimit          = 2 * time.Second         // for requests in flight, if the platform states no time for a stop
+	exitTime            = 500 * time.Millisecond  // of the time for a stop, left to close all connections and exit
 	extraRetention      = 10 * time.Second        // in addition to the time that the platform requires
 	minRetention        = 2 * time.Minute
 )
@@ -137,6 +138,7 @@
 	web       []*webServer  // all HTTP servers
 	callers   *webServer    // the one for callers
 	notice    time.Duration // between the end of readiness and the closing of the listeners
+	drain     time.Duration // limit for the requests in flight after that
 }
 
 func startJobEntry(s *adapter.Settings, log zerolog.Logger) (*jobEntry, error) {
@@ -148,10 +150,8 @@
 	health := platform.NewHealth(adapter.NewStoreClient(s.Store), log, registry)
 	store := health.MonitoredStore()
 	metrics := scheduler.NewMetrics(registry)
-	p := &jobEntry{notice: drainNotice}
-	if limit := time.Duration(maxNoticeFraction * float64(s.TerminationGrace)); limit > 0 {
-		p.notice = min(p.notice, limit)
-	}
+	p := new(jobEntry)
+	p.notice, p.drain = stopTimes(s.TerminationGrace)
 	revocationLimit := caller.RevocationLimit(s.RevocationLimit, s.RevocationStrict)
 	p.catalog = caller.WatchCatalog(caller.CatalogConfig{
 		Store: store, Health: health, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey,
@@ -207,6 +207,18 @@
 	return p, nil
 }
 
+// stopTimes divides the time that the platform allows for a stop, or 0 if it states
+// none, into the notice before the listeners close and the limit for the requests
+// that are in flight then.
+func stopTimes(grace time.Duration) (notice, drain time.Duration) {
+	if grace <= 0 {
+		return drainNotice, drainLimit
+	}
+	notice = min(drainNotice, time.Duration(maxNoticeFraction*float64(grace)))
+	rest := grace - notice
+	return notice, rest - min(exitTime, rest/4)
+}
+
 // logDecision returns a function that logs and counts the scheduler's decisions.
 func logDecision(log zerolog.Logger, m *scheduler.Metrics) func(d job.Decision) {
 	return func(d job.Decision) {
@@ -216,14 +228,15 @@
 	}
 }
 
-// stop turns readiness off and hands the scheduler role over to another entry
-// while this one still answers. Load balancers send callers elsewhere before the
-// listeners close.
+// stop turns readiness off and hands the scheduler role over to another entry.
+// Load balancers send callers elsewhere before the listeners close. Until the last
+// request is answered, this entry stays linked to the scheduler, which some answers
+// come from.
 func (p *jobEntry) stop() {
 	p.admission.StopReadiness()
-	p.candidate.Close()
+	p.candidate.Resign()
 	time.Sleep(p.notice)
-	p.callers.shutdown(drainLimit)
+	p.callers.shutdown(p.drain)
 	p.kill()
 }
 
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -27,9 +27,10 @@
 
 // webServer is an HTTP server with its listener.
 type webServer struct {
-	server *http.Server
-	addr   netip.AddrPort
-	done   chan struct{} // closed when the server has stopped
+	server    *http.Server
+	addr      netip.AddrPort
+	interrupt context.CancelFunc // ends the contexts of all requests
+	done      chan struct{}      // closed when the server has stopped
 }
 
 // serveHTTP listens on addr and serves h. The kernel chooses the port if it is 0.
@@ -38,29 +39,39 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, interrupt := context.WithCancel(context.Background())
 	w := &webServer{
 		server: &http.Server{
+			BaseContext:       func(net.Listener) context.Context { return ctx },
 			Handler:           h,
 			ReadHeaderTimeout: readHeaderTimeout,
 			ReadTimeout:       readTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeader,
 		},
-		addr: bound,
-		done: make(chan struct{}),
+		addr:      bound,
+		interrupt: interrupt,
+		done:      make(chan struct{}),
 	}
 	go func() {
 		defer close(w.done)
+		defer interrupt()
 		_ = w.server.Serve(netutil.LimitListener(l, maxHTTPConns))
 	}()
 	return w, nil
 }
 
-// shutdown waits for the requests in flight, and closes their connections after
-// the limit.
+// answerTime is the part of a shutdown's limit that is left for requests in flight
+// to be answered after their contexts have ended.
+const answerTime = 300 * time.Millisecond
+
+// shutdown waits for the requests in flight. Shortly before the limit it ends their
+// contexts, so that they are answered, and at the limit it closes their connections.
 func (w *webServer) shutdown(limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	t := time.AfterFunc(limit-min(answerTime, limit/2), w.interrupt)
+	defer t.Stop()
 	if err := w.server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		_ = w.server.Close()
 	}
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -52,6 +52,8 @@
 	offeredEpoch uint64              // epoch whose holder asked to be replaced
 	offers       chan struct{}
 
+	resigned context.Context // ends when this process must no longer be the scheduler
+	resign   context.CancelFunc
 	stop     context.CancelFunc
 	done     chan struct{}
 	served   chan struct{}
@@ -69,6 +71,7 @@
 		offers: make(chan struct{}, 1),
 		done:   make(chan struct{}), served: make(chan struct{}), listener: l,
 	}
+	c.resigned, c.resign = context.WithCancel(ctx)
 	c.link = NewLink(LinkConfig{
 		Local:  wire.Hello{Role: wire.RoleEntry, Name: cfg.Node, Address: cfg.Address},
 		Store:  cfg.Store,
@@ -92,6 +95,11 @@
 // maxLinks limits the connections to a scheduler.
 const maxLinks = 2048
 
+// Resign makes the candidate release the lease, if it holds it, and not take it
+// again. Call still reaches the scheduler, which is then another process, until
+// Close is called.
+func (c *Candidate) Resign() { c.resign() }
+
 // Close stops the candidate. If it is the scheduler, it releases the lease
 // first.
 func (c *Candidate) Close() {
@@ -221,22 +229,37 @@
 		}
 	}
 	free := revision == 0 || lease.Released || lease.Holder == c.cfg.Node || c.isOffered(lease.Epoch)
+	switch {
+	case c.mayTake(*seen, free, now):
+		c.takeLease(ctx, *seen, free)
+		seen.unchangedSince = time.Time{}
+		return
+	case !lease.Released && lease.Holder != c.cfg.Node:
+		c.dialHolder(ctx, seen)
+	}
+	c.waitNextRead(ctx)
+}
+
+// mayTake reports whether this process may take the lease, which is free or has
+// not been renewed for long enough.
+func (c *Candidate) mayTake(seen observation, free bool, now time.Time) bool {
 	limit := takeOverAfter
 	if c.link.Conn() == nil {
 		limit = takeOverUnreachable
 	}
-	if free || now.Sub(seen.unchangedSince) >= limit {
-		c.takeLease(ctx, *seen, free)
-		seen.unchangedSince = time.Time{}
+	return c.resigned.Err() == nil && (free || now.Sub(seen.unchangedSince) >= limit)
+}
+
+// dialHolder connects to the holder of the lease unless an attempt has failed
+// since the lease was last renewed.
+func (c *Candidate) dialHolder(ctx context.Context, seen *observation) {
+	if c.link.Conn() != nil || seen.dialFailed {
 		return
 	}
-	if c.link.Conn() == nil && !seen.dialFailed {
-		if _, err := c.link.dial(ctx, lease); err != nil {
-			c.cfg.Log.Debug().Err(err).Msg("scheduler_not_reached")
-			seen.dialFailed = true
-		}
+	if _, err := c.link.dial(ctx, seen.lease); err != nil {
+		c.cfg.Log.Debug().Err(err).Msg("scheduler_not_reached")
+		seen.dialFailed = true
 	}
-	c.waitNextRead(ctx)
 }
 
 // setSuccessor records a newer lease reported by a scheduler that lost its
@@ -298,7 +321,7 @@
 		conn.Close()
 	}
 	h := newHolder(c.cfg, w)
-	err := c.serveTerm(ctx, h)
+	err := c.serveTerm(c.resigned, h)
 	h.rejectSubmissions()
 	var lost *LeaseLostError
 	if !errors.As(err, &lost) {
--- a/io/worker/submit_test.go
+++ b/io/worker/submit_test.go
@@ -202,3 +202,25 @@
 	s.waitState("j", wire.JobCompleted)
 	is.Equal(len(s.starts()), 3)
 }
+
+// TestResignedEntryReachesScheduler resigns the scheduler, and closes its
+// successor. The resigned entry must reach the scheduler each time, and must not
+// take the lease again.
+func TestResignedEntryReachesScheduler(t *testing.T) {
+	s := newSystem(t, 3, 1)
+	s.submit("first", "", tasks(1))
+	s.waitState("first", wire.JobCompleted)
+	resigned := s.holder()
+	s.entries[resigned].Resign()
+	for range 2 {
+		s.wait(func() bool { return s.holder() != resigned }, func() string { return "no entry took over" })
+		s.wait(func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			m, err := s.entries[resigned].Call(ctx, &wire.QueueQuery{Queue: "q"})
+			_, ok := m.(*wire.QueueAnswer)
+			return err == nil && ok
+		}, func() string { return "the resigned entry does not reach the scheduler" })
+		s.entries[s.holder()].Close()
+	}
+}
