Do not take a restored run as ended while its start is on its way

Cause: a run that an earlier scheduler had placed and that is to be stopped counted as ended when a report did not list it. The new scheduler had ordered its start itself, and that order reached the agent after it had sent the report.

Ruled out: a late order of the killed scheduler, which the agent ignores by its token: the start carries the token of the new one; a lapsed or refused run: run_end says not_there.

Change: Orders notes that this scheduler has ordered the start. From then on the run ends by the order to stop, which follows on the same connection, or by the agent's report. Draining and cancelling led to the same end, and are cases of the test. The other conclusions from absence, in io/worker, hold: they follow an acknowledged stop, or a poll that was sent after the start.

Tests of core pass.

--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -107,6 +107,7 @@
 	phase        phase
 	jobVersion   uint64 // version of the job that records the run
 	restored     bool   // placed by an earlier scheduler
+	startOrdered bool   // this scheduler has ordered its start
 	placedAt     time.Time
 	startedAt    time.Time     // when the worker first listed it
 	percent      int           // completed share of the work
--- a/core/job/orders.go
+++ b/core/job/orders.go
@@ -39,6 +39,7 @@
 		case r.phase == stopping && r.durable():
 			o.Stops = append(o.Stops, wire.TaskRun{Task: id, Run: r.number})
 		case r.phase == ordered && r.durable() && w.State == wire.WorkerReady:
+			r.startOrdered = true
 			o.Starts = append(o.Starts, wire.StartTask{Task: id, Run: r.number, Spec: r.task.stage.job.Spec, Checkpoint: r.task.checkpoint, Ticket: r.task.stage.ticket(w)})
 		}
 	}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -155,8 +155,10 @@
 
 // endAbsentRestoredRuns ends the runs placed by an earlier scheduler that are to be
 // stopped, if the worker neither runs them nor can still start them. It cannot start
-// them, because it has acknowledged this scheduler's token and its agent has no
-// pending order for them.
+// them, because it has acknowledged this scheduler's token, its agent has no pending
+// order for them, and this scheduler has not ordered their start. Such an order may
+// reach the agent after it has sent the report. It is followed by an order to stop,
+// to which the agent reports the end.
 func (e *Engine) endAbsentRestoredRuns(w *Worker, r *wire.WorkerReport, now time.Time) {
 	present := make(map[wire.TaskRun]bool, len(r.Running)+len(r.Pending))
 	for _, t := range r.Running {
@@ -166,7 +168,7 @@
 		present[t] = true
 	}
 	for _, run := range w.sortedRuns() {
-		if run.restored && run.phase == stopping && !present[wire.TaskRun{Task: run.task.id(), Run: run.number}] {
+		if run.restored && !run.startOrdered && run.phase == stopping && !present[wire.TaskRun{Task: run.task.id(), Run: run.number}] {
 			e.endRun(run, wire.EndStopped, "", "not_there", now)
 		}
 	}
--- a/core/job/restore_test.go
+++ b/core/job/restore_test.go
@@ -70,6 +70,59 @@
 	}
 }
 
+// TestRestoredRunWithStartOnItsWay guards against two runs of a task at the same time
+// after a takeover. The new scheduler has ordered the start of a restored run, and
+// the worker's report was sent before that order arrived.
+func TestRestoredRunWithStartOnItsWay(t *testing.T) {
+	tests := map[string]struct {
+		stop func(f *testCluster) // while the order is on its way
+	}{
+		"cancelled": {stop: func(f *testCluster) { f.e.Cancel("j", f.now) }},
+		"worker is draining": {stop: func(f *testCluster) {
+			f.report(node(0), func(r *wire.WorkerReport) { r.Running, r.Worker.State = nil, wire.WorkerDraining }, nil)
+		}},
+		"preempted": {stop: func(f *testCluster) {
+			urgent := step(1, 8)
+			urgent.RequiredLabel = "first"
+			f.e.Submit(f.job("urgent", 0, urgent), f.now)
+			f.tick()
+		}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			absent := func(r *wire.WorkerReport) { r.Running, r.Worker.Labels = nil, []string{"first"} }
+			f.report(node(0), absent, nil)
+			f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+			f.tick()
+			run := wire.TaskRun{Task: wire.TaskID{Job: "j"}, Run: 1}
+			f.restart()
+			f.report(node(0), absent, nil)
+			f.report(node(1), nil, nil)
+			o, ok := f.e.Orders(node(0))
+			is.True(ok)
+			is.Equal(len(o.Starts), 1)
+
+			tt.stop(f)
+			f.tick()
+			f.report(node(0), absent, nil)
+			f.tick()
+			is.Equal(len(f.e.workers[node(0)].runs), 1) // it may still start
+			is.Equal(len(f.e.workers[node(1)].runs), 0) // and so runs nowhere else
+			o, ok = f.e.Orders(node(0))
+			is.True(ok)
+			is.Equal(o.Stops, []wire.TaskRun{run})
+
+			f.report(node(0), func(r *wire.WorkerReport) {
+				absent(r)
+				r.Refused = []wire.RefusedRun{{Task: run.Task, Run: run.Run, Reason: "stopped"}}
+			}, nil)
+			is.True(f.runs("j")[0] == nil)
+		})
+	}
+}
+
 func TestWithdrawRemovesJob(t *testing.T) {
 	is := is.New(t)
 	f := newTestCluster(t)
