Take over a lease row that another writer has left

Callers would see: nothing is accepted or run any more, after one odd row in the place of the scheduler's lease (very deep nesting, a port out of range, a number too large, fields missing). Reported by other operators for systems like this one; found here by reading and shown by the test.

Cause: a lease that cannot be decoded counted as a store that does not answer, so that no entry took it. One with an epoch near the end of the range, or without one, made the epochs start over, and workers refuse the tokens of such epochs.

Ruled out: that deep nesting ends a process: msgpack rows of 60 KB are rejected or skipped within the stack, JSON is limited to 10,000 levels by the decoder.

Change: such a row counts as a released lease, with its revision as the epoch, which no earlier epoch exceeds; lease_not_read is logged. Links of agents skip it.

Measured: TestOddLeaseRowIsReplaced fails in all eleven cases before and passes. TestLinkWaitsBehindOddLeaseRow and TestOddRegistryRowsAreSkipped (the rows by which the entries of /v1/services/ find each other) held before, too.

--- a/io/caller/registry_test.go
+++ b/io/caller/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,6 +54,31 @@
 	is.Equal(len(left), 0)
 }
 
+// TestOddRegistryRowsAreSkipped guards against a row of another writer among those of
+// the entries that hides the others or names an address that cannot be dialed.
+func TestOddRegistryRowsAreSkipped(t *testing.T) {
+	deep := strings.Repeat("[", 60<<10)
+	tests := map[string]platform.Write{
+		"port out of range":  {Key: registryPrefix + "127.0.0.9:70000"},
+		"port too large":     {Key: registryPrefix + "127.0.0.9:99999999999999999999"},
+		"no address":         {Key: registryPrefix + "other"},
+		"empty":              {Key: registryPrefix},
+		"very deeply nested": {Key: registryPrefix + "[[[[[]]]]]:1", Value: []byte(deep)},
+	}
+	for name, odd := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := platform.NewStandin().Store()
+			e := newTestEntry(t, store)
+			other := platform.Write{Key: registryPrefix + "127.0.0.8:1", Value: []byte(deep)} // only its key is read
+			_, err := store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{odd, other}})
+			is.NoErr(err)
+			e.readRegistry()
+			is.Equal(e.liveEntries()[1:], []netip.AddrPort{netip.MustParseAddrPort("127.0.0.8:1")})
+		})
+	}
+}
+
 func TestConfiguredPeersAreKnownFromTheStart(t *testing.T) {
 	is := is.New(t)
 	peer := netip.MustParseAddrPort("127.0.0.3:1")
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -213,6 +213,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 	lease, revision, err := readLease(callCtx, c.cfg.Store)
 	cancel()
+	var malformed *MalformedLeaseError
+	if errors.As(err, &malformed) {
+		c.cfg.Log.Error().Err(err).Msg("lease_not_read")
+		err = nil
+	}
 	if err != nil {
 		seen.readFailedAt = time.Now() // the holder may have been cut off from the store too
 		seen.unchangedSince = seen.readFailedAt
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -86,8 +86,27 @@
 	return fmt.Sprintf("scheduler: lease taken by %s in epoch %d", e.Holder, e.Epoch)
 }
 
+// MalformedLeaseError means that the lease row is not one that a scheduler has
+// written.
+type MalformedLeaseError struct {
+	Revision uint64
+	Cause    error // of the decoding, or nil if the epoch is out of range
+}
+
+// Error returns the revision of the row and the cause.
+func (e *MalformedLeaseError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("scheduler: lease row of revision %d has an epoch out of range", e.Revision)
+	}
+	return fmt.Sprintf("scheduler: lease row of revision %d: %v", e.Revision, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *MalformedLeaseError) Unwrap() error { return e.Cause }
+
 // readLease returns the lease and the revision of its row, which is 0 if there
-// is no row.
+// is no row. Of a malformed row it returns the substitute of decodeLease together
+// with the error.
 func readLease(ctx context.Context, store platform.Store) (wire.SchedulerLease, uint64, error) {
 	row, err := store.Get(ctx, leaseKey)
 	if err != nil || row.Revision == 0 {
@@ -97,10 +116,17 @@
 	return l, row.Revision, err
 }
 
+// decodeLease decodes the lease row. For a row that no scheduler has written it
+// returns a *MalformedLeaseError, and a released lease that any candidate may take.
+// The epoch of that lease is the row's revision: a revision counts all transactions,
+// and every epoch begins with one, so that no earlier epoch is higher.
 func decodeLease(row platform.Row) (wire.SchedulerLease, error) {
 	var l wire.SchedulerLease
 	_, err := l.UnmarshalMsg(row.Value)
-	return l, err
+	if err == nil && l.Epoch > 0 && l.Epoch <= row.Revision {
+		return l, nil
+	}
+	return wire.SchedulerLease{Epoch: row.Revision, Released: true}, &MalformedLeaseError{Revision: row.Revision, Cause: err}
 }
 
 // writer commits the holder's transactions, one at a time.
@@ -233,10 +259,7 @@
 	if row.Revision == 0 {
 		return true, &LeaseLostError{}
 	}
-	l, err := decodeLease(row)
-	if err != nil {
-		return true, err
-	}
+	l, _ := decodeLease(row) // a malformed row is not the one of this process either
 	if l.Holder == w.lease.Holder && l.Epoch == w.lease.Epoch && l.Sequence == w.lease.Sequence {
 		w.revision, w.committedAt = row.Revision, sent
 		return true, nil
--- a/io/scheduler/lease_test.go
+++ b/io/scheduler/lease_test.go
@@ -1,16 +1,21 @@
 package scheduler
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"math"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"bramleythread/io/frame"
 	"bramleythread/io/platform"
 	"bramleythread/io/wire"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"github.com/tinylib/msgp/msgp"
 )
 
 func newWriter(store platform.Store, name string) *writer {
@@ -238,3 +243,97 @@
 	is.True(m.(*wire.StatusAnswer).LeaseAge >= 10*time.Second)
 	silent.Store(false)
 }
+
+// oddRows are values that another writer may leave in a row of ours.
+func oddRows(t *testing.T) map[string][]byte {
+	t.Helper()
+	lease := func(change func(m map[string]any)) []byte {
+		m := map[string]any{"holder": "other", "address": "127.0.0.1:9", "key": []byte("k"), "epoch": uint64(1), "sequence": uint64(1), "released": false}
+		change(m)
+		row, err := msgp.AppendMapStrIntf(nil, m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return row
+	}
+	deep := bytes.Repeat([]byte{0x91}, 60<<10) // arrays of one element, each in the one before
+	return map[string][]byte{
+		"empty":                       {},
+		"not readable":                []byte("\xc1\xff{"),
+		"JSON":                        []byte(`{"holder":"other","epoch":1}`),
+		"very deeply nested":          append(deep, 0x00),
+		"a deeply nested field":       append(append([]byte{0x81, 0xa1, 'x'}, deep...), 0x00),
+		"port out of range":           lease(func(m map[string]any) { m["address"] = "127.0.0.1:70000" }),
+		"epoch too large":             lease(func(m map[string]any) { m["epoch"] = uint64(math.MaxUint64) }),
+		"epoch missing":               lease(func(m map[string]any) { delete(m, "epoch") }),
+		"epoch of another type":       lease(func(m map[string]any) { m["epoch"] = "one" }),
+		"address of another type":     lease(func(m map[string]any) { m["address"] = 9 }),
+		"nothing of what a lease has": lease(func(m map[string]any) { clear(m) }),
+	}
+}
+
+// TestOddLeaseRowIsReplaced guards against a row of another writer in the place of
+// the lease that no candidate can take. Epochs must grow all the same, since
+// workers refuse lower tokens.
+func TestOddLeaseRowIsReplaced(t *testing.T) {
+	for name, value := range oddRows(t) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ctx := context.Background()
+			store := platform.NewStandin().Store()
+			for _, holder := range []string{"first", "second", "third"} { // three terms
+				w := newWriter(store, holder)
+				old, revision, err := readLease(ctx, store)
+				is.NoErr(err)
+				is.NoErr(w.claim(ctx, old, revision))
+			}
+			leaveOddRow := func() {
+				_, err := store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: leaseKey, Value: value}}})
+				is.NoErr(err)
+			}
+			held := func(after uint64) wire.SchedulerLease {
+				return waitLease(t, store, func(l wire.SchedulerLease) bool {
+					return l.Holder == "entry-0" && !l.Released && l.Epoch > after
+				})
+			}
+			leaveOddRow()
+			startCandidate(t, store, nil)
+			first := held(3)
+			leaveOddRow() // while the candidate holds the lease
+			second := held(first.Epoch)
+			is.True(second.Epoch < 1<<(64-connBits-lifetimeBits)) // tokens hold it
+			dialAgent(t, second)                                  // agents are accepted
+		})
+	}
+}
+
+// TestLinkWaitsBehindOddLeaseRow guards against a link that stops following the
+// lease after a row of another writer.
+func TestLinkWaitsBehindOddLeaseRow(t *testing.T) {
+	for name, value := range oddRows(t) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			store := platform.NewStandin().Store()
+			_, err := store.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: leaseKey, Value: value}}})
+			is.NoErr(err)
+			l := NewLink(LinkConfig{
+				Local: wire.Hello{Role: wire.RoleAgent, Name: "agent"}, Store: store, Log: zerolog.Nop(),
+				Handle: func(context.Context, *frame.Conn, wire.Message) wire.Message { return nil },
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			stopped := make(chan struct{})
+			go func() {
+				defer close(stopped)
+				l.Run(ctx, func(*frame.Conn) {})
+			}()
+			time.Sleep(2 * pollUnlinked) // until the link has read the row
+			next := newPeer(t, "next", 2)
+			next.hold(t, store)
+			next.next(t)
+			cancel()
+			<-stopped
+		})
+	}
+}
--- a/io/scheduler/link.go
+++ b/io/scheduler/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -318,7 +319,7 @@
 	defer cancel()
 	if after == 0 {
 		lease, revision, err := readLease(ctx, l.cfg.Store)
-		return &lease, revision, err
+		return &lease, revision, l.ignoreMalformed(err)
 	}
 	changes, err := l.cfg.Store.Watch(ctx, TableScheduler, after, leasePollWait)
 	if err != nil {
@@ -327,8 +328,20 @@
 	for _, row := range slices.Backward(changes.Rows) {
 		if row.Key == leaseKey && !row.Deleted {
 			lease, err := decodeLease(row)
-			return &lease, changes.Revision, err
+			return &lease, changes.Revision, l.ignoreMalformed(err)
 		}
 	}
 	return nil, changes.Revision, nil
 }
+
+// ignoreMalformed logs a MalformedLeaseError and returns nil for it. The lease that
+// takes the place of such a row names no holder, so that the link waits for the
+// next one.
+func (l *Link) ignoreMalformed(err error) error {
+	var malformed *MalformedLeaseError
+	if errors.As(err, &malformed) {
+		l.cfg.Log.Error().Err(err).Msg("lease_not_read")
+		return nil
+	}
+	return err
+}
