Skip rows of the job table that no entry has written

Callers would see: work starts late or not at all, or where there is no room, after one odd row among the jobs (numbers too large, negative amounts, steps that wait for themselves).

Cause: a job was checked when a caller submits it, not when a scheduler reads its row. Rows that cannot be decoded were skipped already.

Change: a row is skipped and logged if its job is not the one that its key names, or would not pass the checks of a submission. These now also bound the times of a step (90 days), and the times of occurrences, whose sums overflowed. Entries read rows by the same rule.

Tests of core/job, io/scheduler, io/caller, io/worker pass. An entry of an older build could have accepted a job above the new bounds, which would then be skipped: estimates of more than 90 days are not in use here.

--- a/core/job/validate.go
+++ b/core/job/validate.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"time"
 
 	"bramleythread/io/wire"
 )
@@ -15,6 +17,12 @@
 	maxResourceAmount = 1 << 30 // of any resource, MaxPerWorker or MaxUnavailable
 	maxTextBytes      = 200     // of a label, rack or image
 
+	maxYear = 9999 // of the first run
+
+	// maxStepTime bounds the times of a step. Sums over the steps of a job, multiplied
+	// by the factors for distance and stretch, must fit into a time.Duration.
+	maxStepTime = 90 * 24 * time.Hour
+
 	// MaxRowBytes is the maximum size of a job's row. It is below the users' limit
 	// of 64 KiB to leave room for what an entry adds.
 	MaxRowBytes = 60 << 10
@@ -38,8 +46,10 @@
 		return &InvalidError{Field: "steps", Reason: fmt.Sprintf("needs 1 to %d steps", MaxSteps)}
 	case j.RepeatCount < 0 || j.RepeatCount > MaxOccurrences:
 		return &InvalidError{Field: "repeat", Reason: fmt.Sprintf("needs 0 to %d", MaxOccurrences)}
-	case j.Interval < 0:
-		return &InvalidError{Field: "interval", Reason: "is negative"}
+	case j.Interval < 0 || j.Interval > math.MaxInt64/time.Duration(max(j.RepeatCount, 1)):
+		return &InvalidError{Field: "interval", Reason: "is out of range"}
+	case j.RepeatCount > 0 && j.FirstRun.Year() > maxYear:
+		return &InvalidError{Field: "first_run", Reason: "is out of range"}
 	}
 	tasks := 0
 	for i := range j.Steps {
@@ -70,8 +80,10 @@
 			return &InvalidError{Field: field, Reason: "has an amount out of range"}
 		}
 	}
-	if s.Estimate < 0 || s.TargetLatency < 0 {
-		return &InvalidError{Field: field, Reason: "has a negative time"}
+	for _, d := range []time.Duration{s.Estimate, s.TargetLatency} {
+		if d < 0 || d > maxStepTime {
+			return &InvalidError{Field: field, Reason: "has a time out of range"}
+		}
 	}
 	for _, text := range []string{s.RequiredLabel, s.DataRack, s.Image} {
 		if len(text) > maxTextBytes {
--- a/core/job/validate_test.go
+++ b/core/job/validate_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"math"
 	"strings"
 	"testing"
+	"time"
 
 	"bramleythread/io/wire"
 
@@ -40,7 +42,15 @@
 			job:   wire.Job{Steps: []wire.JobStep{step(1, 1), {Count: 1, After: make([]int, 100000)}}},
 			field: "steps[1].after",
 		},
-		"a long label":    {job: one(func(s *wire.JobStep) { s.RequiredLabel = strings.Repeat("l", 70000) }), field: "steps[0]"},
+		"a long label":             {job: one(func(s *wire.JobStep) { s.RequiredLabel = strings.Repeat("l", 70000) }), field: "steps[0]"},
+		"an estimate out of range": {job: one(func(s *wire.JobStep) { s.Estimate = math.MaxInt64 }), field: "steps[0]"},
+		"a latency out of range":   {job: one(func(s *wire.JobStep) { s.TargetLatency = math.MaxInt64 }), field: "steps[0]"},
+		"an interval whose sum is out of range": {
+			job: wire.Job{RepeatCount: 1000, Interval: math.MaxInt64 / 999, Steps: []wire.JobStep{step(1, 1)}}, field: "interval",
+		},
+		"a first run out of range": {
+			job: wire.Job{RepeatCount: 1, FirstRun: time.UnixMilli(math.MaxInt64), Steps: []wire.JobStep{step(1, 1)}}, field: "first_run",
+		},
 		"negative demand": {job: one(func(s *wire.JobStep) { s.Demand.CPU = -1 }), field: "steps[0]"},
 	}
 	for name, tt := range tests {
--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -264,7 +264,7 @@
 			if row.Revision == 0 {
 				return j, false, nil
 			}
-			_, err = j.UnmarshalMsg(row.Value)
+			j, err = scheduler.DecodeJob(row)
 			return j, err == nil, err
 		}
 		if !sleepContext(ctx, retryDelay) {
--- a/io/scheduler/tables.go
+++ b/io/scheduler/tables.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"bramleythread/core/job"
 	"bramleythread/io/platform"
 	"bramleythread/io/wire"
 )
@@ -97,10 +98,11 @@
 }
 
 // restoreJob adds the job of one row to the engine. A known job is left
-// unchanged. The caller holds mu.
+// unchanged, and a row that no entry can have written is skipped. The caller
+// holds mu.
 func (h *holder) restoreJob(row platform.Row, p *wire.JobProgress, now time.Time) {
-	var j wire.Job
-	if _, err := j.UnmarshalMsg(row.Value); err != nil {
+	j, err := DecodeJob(row)
+	if err != nil {
 		h.cfg.Log.Error().Str("row", row.Key).Err(err).Msg("row_not_read")
 		return
 	}
@@ -111,6 +113,20 @@
 	h.cfg.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Dur("age", now.Sub(j.Accepted)).Msg("job_taken_in")
 }
 
+// DecodeJob decodes a row of the job table. It fails for a row that no entry can
+// have written: its job is not the one that its key names, or would not have been
+// accepted.
+func DecodeJob(row platform.Row) (wire.Job, error) {
+	var j wire.Job
+	if _, err := j.UnmarshalMsg(row.Value); err != nil {
+		return j, err
+	}
+	if id := jobOfRow(row); id != j.ID {
+		return j, &job.InvalidError{Field: "id", Reason: "is not the one in the key"}
+	}
+	return j, job.Validate(&j)
+}
+
 // watchJobs adds the jobs and cancellations that entries write to the job
 // table.
 func (h *holder) watchJobs(ctx context.Context) {
--- /dev/null
+++ b/io/scheduler/tables_test.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"bramleythread/core/job"
+	"bramleythread/io/platform"
+	"bramleythread/io/wire"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// TestOddJobRowsAreSkipped guards against a row of another writer in the job table
+// that ends or blocks every process that becomes the scheduler. The rows beside it
+// hold.
+func TestOddJobRowsAreSkipped(t *testing.T) {
+	one := func(change func(j *wire.Job, s *wire.JobStep)) []byte {
+		j := wire.Job{ID: "odd", Queue: "q", Attempts: 1, Accepted: time.Now(), Steps: []wire.JobStep{{Count: 1}}}
+		change(&j, &j.Steps[0])
+		value, err := j.MarshalMsg(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	tests := map[string][]byte{
+		"a job of another id":  one(func(j *wire.Job, _ *wire.JobStep) { j.ID = "other" }),
+		"no step":              one(func(j *wire.Job, _ *wire.JobStep) { j.Steps = nil }),
+		"count too large":      one(func(_ *wire.Job, s *wire.JobStep) { s.Count = 200_000 }),
+		"negative count":       one(func(_ *wire.Job, s *wire.JobStep) { s.Count = -1 }),
+		"negative demand":      one(func(_ *wire.Job, s *wire.JobStep) { s.Demand.Accelerators = math.MinInt }),
+		"demand too large":     one(func(_ *wire.Job, s *wire.JobStep) { s.Demand.CPU = math.MaxInt }),
+		"estimate too large":   one(func(_ *wire.Job, s *wire.JobStep) { s.Estimate = math.MaxInt64 }),
+		"a step after itself":  one(func(_ *wire.Job, s *wire.JobStep) { s.After = []int{0} }),
+		"too many occurrences": one(func(j *wire.Job, _ *wire.JobStep) { j.RepeatCount = 2_000_000 }),
+		"interval too large": one(func(j *wire.Job, _ *wire.JobStep) {
+			j.RepeatCount, j.FirstRun, j.Interval = 1000, time.Now(), math.MaxInt64
+		}),
+	}
+	for name, value := range oddRows(t) {
+		tests["not a job: "+name] = value
+	}
+	for name, value := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			good := wire.Job{ID: "good", Queue: "q", Attempts: 1, Accepted: time.Now(), Steps: []wire.JobStep{{Count: 1}}}
+			goodValue, err := good.MarshalMsg(nil)
+			is.NoErr(err)
+			h := &holder{cfg: Config{Log: zerolog.Nop()}, engine: job.New(job.Config{}, time.Now())}
+			h.applyJobRows(platform.Changes{Revision: 9, Rows: []platform.Row{
+				{Key: TableJob + "/odd", Value: value, Revision: 7}, {Key: TableJob + "/good", Value: goodValue, Revision: 8},
+			}}, nil)
+			is.NoErr(h.termFailure())
+			_, _, known := h.engine.State("good")
+			is.True(known)
+			for _, id := range []string{"odd", "other", ""} {
+				_, _, known = h.engine.State(id)
+				is.True(!known)
+			}
+			is.Equal(h.jobsRevision, uint64(9)) // the watch goes on behind it
+		})
+	}
+}
