--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -25,8 +25,7 @@
 // confirmed.
 type candidate struct {
 	Announcement
-	at   time.Time // when it was received
-	left bool      // the lifetime has announced its end since
+	left bool // the lifetime has announced its end since
 }
 
 // Reasons for which an announcement is ignored, as logged and counted.
@@ -59,11 +58,11 @@
 	case n.Born < a.info.Born || n.Sequence <= known:
 		reason = ignoredOvertake
 	case present:
-		a.applyAnnouncement(n, time.Now())
+		a.applyAnnouncement(n)
 	case known == 0 && len(a.candidates) >= maxCandidates:
 		reason = ignoredTooMany
 	default:
-		a.candidates[id] = candidate{n, time.Now(), c.left}
+		a.candidates[id] = candidate{n, c.left}
 	}
 	a.mu.Unlock()
 	if reason != "" {
@@ -94,10 +93,9 @@
 
 // applyAnnouncement applies an announcement of the present lifetime. The caller
 // holds mu.
-func (a *Agent) applyAnnouncement(n Announcement, at time.Time) {
+func (a *Agent) applyAnnouncement(n Announcement) {
 	state := a.info.State
 	a.info, a.announceSequence = n.WorkerInfo, n.Sequence
-	a.setClock(n.Clock, at)
 	if state != n.State {
 		a.cfg.Log.Info().Str("instance", n.Instance).Str("state", string(n.State)).Dur("remaining", n.Remaining).Msg("worker_state")
 		a.report()
@@ -147,6 +145,7 @@
 		a.ignore(c.Announcement, ignoredLifetime)
 	case err == nil || left:
 		a.adoptLifetime(c)
+		a.setClock(reply.Clock, time.Now())
 		adopted = true
 	default:
 		a.cfg.Log.Debug().Str("instance", id.instance).Err(err).Msg("lifetime_not_confirmed")
@@ -160,7 +159,7 @@
 func (a *Agent) adoptLifetime(c candidate) {
 	a.resetLifetime(c.WorkerInfo)
 	a.info = wire.WorkerInfo{}
-	a.applyAnnouncement(c.Announcement, c.at)
+	a.applyAnnouncement(c.Announcement)
 	if c.left {
 		a.recordLeave()
 	}
--- a/io/worker/link_test.go
+++ b/io/worker/link_test.go
@@ -123,7 +123,7 @@
 	defer a.Close()
 	announcement := func(n int64) worker.Announcement {
 		return worker.Announcement{
-			WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: n, State: wire.WorkerReady}, Sequence: 1, Clock: time.Second,
+			WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: n, State: wire.WorkerReady}, Sequence: 1,
 		}
 	}
 	a.Announce(announcement(1))
@@ -204,7 +204,7 @@
 	a := worker.Start(worker.Config{
 		Node: "side-1", Store: store, Worker: w, Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
 	})
-	a.Announce(worker.Announcement{WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}, Sequence: 1, Clock: time.Second})
+	a.Announce(worker.Announcement{WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}, Sequence: 1})
 	conn := <-s.conns
 	is.NoErr(conn.Send(&wire.WorkerOrders{
 		Sequence: 1, Epoch: 1, Token: 1 << 8, Instance: "i-1", Born: 1, Stops: []wire.TaskRun{ended, runs},
--- a/io/worker/standin.go
+++ b/io/worker/standin.go
@@ -90,7 +90,7 @@
 
 // Announcement returns an announcement of the worker's state.
 func (s *Standin) Announcement(sequence uint64) Announcement {
-	return Announcement{WorkerInfo: s.cfg.Info, Sequence: sequence, Clock: time.Since(s.start)}
+	return Announcement{WorkerInfo: s.cfg.Info, Sequence: sequence}
 }
 
 // Worker returns the calls of the worker.
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -71,7 +71,6 @@
 type Announcement struct {
 	wire.WorkerInfo
 	Sequence uint64
-	Clock    time.Duration
 }
 
 // RefusedError means that the worker refused a call and did nothing.
