Ignore deletions of cancellation rows

Callers would see: a job that is submitted under the id of an expired one is cancelled, if the scheduler's watch returns the deletion of the earlier job's cancellation after that. Found by reading the paths beside the forgotten cancellation.

Cause: rows of the job table with the suffix of a cancellation counted as cancellations even if they were deleted. The scheduler deletes them itself when it forgets a job.

Measured: TestDeletedCancellationCancelsNothing failed before (cancelled, want queued) and passes, with the tests of io/scheduler.

--- a/io/scheduler/tables.go
+++ b/io/scheduler/tables.go
@@ -79,9 +79,11 @@
 	var cancelled []string
 	for _, row := range rows {
 		id := jobOfRow(row)
-		if strings.HasSuffix(row.Key, CancelSuffix) {
+		switch {
+		case row.Deleted: // with an expired job
+		case strings.HasSuffix(row.Key, CancelSuffix):
 			cancelled = append(cancelled, id)
-		} else if !row.Deleted {
+		default:
 			h.restoreJob(row, states[id], now)
 		}
 	}
--- a/io/scheduler/tables_test.go
+++ b/io/scheduler/tables_test.go
@@ -64,3 +64,22 @@
 		})
 	}
 }
+
+// TestDeletedCancellationCancelsNothing guards against the deletion of an expired
+// job's cancellation that cancels a later job of the same id.
+func TestDeletedCancellationCancelsNothing(t *testing.T) {
+	is := is.New(t)
+	j := wire.Job{ID: "j", Queue: "q", Attempts: 1, Accepted: time.Now(), Steps: []wire.JobStep{{Count: 1}}}
+	value, err := j.MarshalMsg(nil)
+	is.NoErr(err)
+	h := &holder{cfg: Config{Log: zerolog.Nop()}, engine: job.New(job.Config{}, time.Now())}
+	h.applyJobRows(platform.Changes{Rows: []platform.Row{
+		{Key: TableJob + "/j" + CancelSuffix, Revision: 7, Deleted: true}, {Key: TableJob + "/j", Value: value, Revision: 8},
+	}}, nil)
+	if b := h.engine.Flush(); b != nil {
+		h.engine.MarkCommitted(b)
+	}
+	_, state, known := h.engine.State("j")
+	is.True(known)
+	is.Equal(state, wire.JobQueued)
+}
