Break waiting calls when a worker's stand-in crashes

Cause: a hold call that waited at the stand-in when it crashed was answered as before up to 1 s later, where a process that ends breaks its connections. The agent could not see the crash until then. In the logs of the agent the new lifetime shows only 1.4 s after the crash.

Change: Crash wakes the waiting calls, which then get no answer.

Measured: TestCrashBreaksWaitingCalls failed before and passes.

--- a/io/worker/standin.go
+++ b/io/worker/standin.go
@@ -314,7 +314,8 @@
 	number int
 }
 
-// Crash ends the worker and all its runs. It answers no calls from then on.
+// Crash ends the worker and all its runs. It answers no calls from then on, not even
+// those that are waiting.
 func (s *Standin) Crash() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -324,6 +325,8 @@
 		s.endRun(id, r, wire.EndCrashed, now)
 	}
 	s.crashed, s.faults = true, StandinFaults{Unresponsive: true}
+	close(s.endSignal)
+	s.endSignal = make(chan struct{})
 }
 
 // RunHistory returns all runs that have ended, and those still running with
