Notice by its answers that a worker has started again

Cause: the agent knew a lifetime by its heartbeats only and dropped answers that showed another start time. Until the heartbeat arrived it gave the new lifetime the orders of the earlier one and acknowledged its ends by the earlier count; the scheduler then ended all runs placed on the earlier lifetime.

Ruled out: that holding back orders is enough: one that is on its way reaches the new lifetime, which cannot tell. A late order after the first report: refused by its token.

Change: an answer with another start time makes the agent adopt that lifetime, in the state unannounced, in which it gets nothing new. After a failed call nothing is acknowledged before an answer has shown the lifetime. The scheduler moves runs to a later lifetime of the same id if its report lists them.

--- a/core/job/report.go
+++ b/core/job/report.go
@@ -1,6 +1,9 @@
 package job
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"bramleythread/io/wire"
@@ -74,31 +77,68 @@
 }
 
 // workerLifetime returns the row of the worker lifetime in a report, or nil if a
-// later one at the same agent is known. It ends the runs of earlier lifetimes.
+// later one at the same agent is known. It ends the runs of earlier lifetimes, except
+// those that the worker has started in this one.
 func (e *Engine) workerLifetime(r *wire.WorkerReport, now time.Time) *Worker {
 	var w *Worker
-	for key, other := range e.workers {
+	var earlier []*Worker
+	for _, other := range e.workers {
 		switch {
 		case other.Node != r.Node:
 		case other.Instance == r.Worker.Instance && other.Born == r.Worker.Born:
 			w = other
-			delete(e.workers, key)
 		case other.Born > r.Worker.Born:
 			return nil
 		default:
-			e.endAllRuns(other, "worker_replaced", now)
-			delete(e.workers, key)
+			earlier = append(earlier, other)
 		}
 	}
+	maps.DeleteFunc(e.workers, func(_ string, other *Worker) bool { return other.Node == r.Node })
 	if w == nil {
 		w = newWorker(r.Node, now.Add(e.cfg.LeaseLimit))
 		w.WorkerInfo = r.Worker
 	}
+	slices.SortFunc(earlier, func(a, b *Worker) int { return cmp.Compare(a.Born, b.Born) })
+	for _, other := range earlier {
+		if other.Instance == w.Instance {
+			e.moveListedRuns(other, w, r)
+		}
+		e.endAllRuns(other, "worker_replaced", now)
+	}
 	e.workers[r.Node] = w
 	e.sortWorkers()
 	return w
 }
 
+// moveListedRuns moves runs to a later lifetime of a worker under the same id, if its
+// report lists them. Their orders were meant for the earlier lifetime and have reached
+// the later one, which cannot tell.
+func (e *Engine) moveListedRuns(from, to *Worker, r *wire.WorkerReport) {
+	listed := make(map[wire.TaskRun]bool, len(r.Running)+len(r.Ended))
+	for _, t := range r.Running {
+		listed[wire.TaskRun{Task: t.Task, Run: t.Run}] = true
+	}
+	for _, end := range r.Ended {
+		listed[wire.TaskRun{Task: end.Task, Run: end.Run}] = true
+	}
+	for _, run := range from.sortedRuns() {
+		id, d := run.task.id(), demand(run.task.stage.step)
+		if !listed[wire.TaskRun{Task: id, Run: run.number}] {
+			continue
+		}
+		delete(from.runs, id)
+		from.used = sub(from.used, d)
+		run.worker, to.runs[id] = to, run
+		to.used = add(to.used, d)
+		if run.phase == started {
+			run.phase = ordered
+		}
+		run.startedAt, run.listedAt, run.stalledFor = time.Time{}, 0, 0
+		e.markChanged(run.task.stage.job) // its row names the worker's lifetime
+		e.recordDecision(Decision{Kind: "run_moved", Job: id.Job, Task: id, Run: run.number, Worker: to.Node, Reason: "worker_restarted"})
+	}
+}
+
 // endAllRuns ends all runs of a worker that has certainly stopped running them.
 func (e *Engine) endAllRuns(w *Worker, reason string, now time.Time) {
 	for _, r := range w.sortedRuns() {
--- a/core/job/restore_test.go
+++ b/core/job/restore_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,6 +124,82 @@
 	}
 }
 
+// TestRunStartedInLaterLifetime guards against work that is done twice after a worker
+// has started again under its id: an order for the earlier lifetime has reached the
+// later one, whose report lists the run.
+func TestRunStartedInLaterLifetime(t *testing.T) {
+	id := wire.TaskID{Job: "j"}
+	tests := map[string]struct {
+		instance string // of the later lifetime, if it is not the same
+		report   func(r *wire.WorkerReport)
+		runs     int // of the task
+		state    wire.JobState
+	}{
+		"it runs": {
+			report: func(r *wire.WorkerReport) { r.Running = []wire.RunningTask{{Task: id, Run: 1}} },
+			runs:   1, state: wire.JobRunning,
+		},
+		"it is done": {
+			report: func(r *wire.WorkerReport) {
+				r.Ended = []wire.EndedRun{{Number: 1, Task: id, Run: 1, End: wire.EndDone}}
+			},
+			runs: 1, state: wire.JobCompleted,
+		},
+		"it is not there": {
+			report: func(*wire.WorkerReport) {},
+			runs:   2, state: wire.JobRunning,
+		},
+		"another run of the task": {
+			report: func(r *wire.WorkerReport) { r.Running = []wire.RunningTask{{Task: id, Run: 7}} },
+			runs:   2, state: wire.JobRunning,
+		},
+		"another id": {
+			instance: "i-other",
+			report:   func(r *wire.WorkerReport) { r.Running = []wire.RunningTask{{Task: id, Run: 1}} },
+			runs:     2, state: wire.JobRunning,
+		},
+	}
+	for name, tt := range tests {
+		for _, restarted := range []bool{false, true} { // the scheduler
+			t.Run(fmt.Sprintf("%s, restarted %t", name, restarted), func(t *testing.T) {
+				is := is.New(t)
+				f := newTestCluster(t)
+				f.workers(1)
+				f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+				f.tick()
+				if restarted {
+					f.restart()
+				}
+				f.report(node(0), func(r *wire.WorkerReport) {
+					r.Running, r.Worker.Born = nil, 2
+					if tt.instance != "" {
+						r.Worker.Instance = tt.instance
+					}
+					tt.report(r)
+				}, nil)
+				f.report(node(1), nil, nil)
+				f.tick()
+				f.tick()
+				placed := 0
+				for _, d := range f.decisions {
+					if d.Kind == "place" {
+						placed++
+					}
+				}
+				is.Equal(placed, tt.runs)
+				is.Equal(f.state("j"), tt.state)
+				if tt.runs == 1 && tt.state == wire.JobRunning { // the later lifetime ends it
+					is.Equal(f.e.workers[node(0)].used.Accelerators, 8)
+					f.report(node(0), func(r *wire.WorkerReport) { r.Worker.Born = 2 }, map[wire.TaskID]wire.RunEnd{id: wire.EndDone})
+					f.tick()
+					is.Equal(f.state("j"), wire.JobCompleted)
+					is.Equal(f.e.workers[node(0)].used.Accelerators, 0)
+				}
+			})
+		}
+	}
+}
+
 func TestWithdrawRemovesJob(t *testing.T) {
 	is := is.New(t)
 	f := newTestCluster(t)
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -40,6 +40,10 @@
 	WorkerReady    WorkerState = "ready"
 	WorkerDraining WorkerState = "draining"
 	WorkerGone     WorkerState = "gone"
+
+	// WorkerUnannounced is the state of a worker that has started again and not
+	// announced itself yet.
+	WorkerUnannounced WorkerState = "unannounced"
 )
 
 // RunEnd is the way in which a run of a task ended.
--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -165,6 +165,18 @@
 	}
 }
 
+// adoptUnannounced makes a lifetime present that an answer of the worker has shown
+// before its announcement has arrived: the worker has started again under its id. It
+// may already run what was meant for the earlier lifetime, and is given nothing else
+// until it is announced, since it may be of another kind. The caller holds mu.
+func (a *Agent) adoptUnannounced(reply HoldReply) {
+	info := a.info
+	info.Born, info.State, info.Remaining = reply.Born, wire.WorkerUnannounced, 0
+	a.resetLifetime(info)
+	a.info = info
+	a.setClock(reply.Clock, time.Now())
+}
+
 // services caches the names of configured services.
 type services struct {
 	mu     sync.Mutex // held while the configuration is read
--- a/io/worker/announce_test.go
+++ b/io/worker/announce_test.go
@@ -145,3 +145,73 @@
 		}
 	}
 }
+
+// TestWorkerStartedAgainUnderItsID guards against an agent that takes a worker for an
+// earlier lifetime until the later one has announced itself. It must acknowledge
+// nothing by the earlier one's numbers, give the worker no new work, and report what
+// the later lifetime does.
+func TestWorkerStartedAgainUnderItsID(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStandin().Store()
+	s := newScriptedScheduler(t, store)
+	run := wire.TaskRun{Task: wire.TaskID{Job: "j"}, Run: 1}
+	var again, crashed atomic.Bool
+	var acked, started atomic.Int64
+	w := worker.Worker{
+		Hold: func(ctx context.Context, o worker.HoldRequest) (worker.HoldReply, error) {
+			if !again.Load() {
+				time.Sleep(5 * time.Millisecond)
+				return worker.HoldReply{Born: 1, Clock: time.Hour}, nil
+			}
+			if crashed.CompareAndSwap(false, true) { // the call that was open at the crash
+				return worker.HoldReply{}, &platform.UnavailableError{Op: "hold"}
+			}
+			acked.Add(int64(o.Acked))
+			time.Sleep(5 * time.Millisecond)
+			return worker.HoldReply{Born: 2, Clock: time.Second, Ended: []wire.EndedRun{{Number: 1, Task: run.Task, Run: run.Run, End: wire.EndDone}}}, nil
+		},
+		Start: func(context.Context, worker.StartRequest) error {
+			started.Add(1)
+			return nil
+		},
+	}
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: store, Worker: w, Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+	})
+	defer a.Close()
+	announcement := worker.Announcement{WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}, Sequence: 1}
+	is.True(a.Announce(announcement))
+	conn := <-s.conns
+	orders := &wire.WorkerOrders{Sequence: 1, Epoch: 1, Token: 1 << 8, Instance: "i-1", Born: 1, AckedEnds: 5}
+	is.NoErr(conn.Send(orders))
+	report := func(ok func(r *wire.WorkerReport) bool) *wire.WorkerReport {
+		t.Helper()
+		for end := time.Now().Add(testTimeout); ; time.Sleep(5 * time.Millisecond) {
+			if r := s.last.Load(); r != nil && ok(r) {
+				return r
+			}
+			if time.Now().After(end) {
+				t.Fatalf("no such report, the last one is %v", s.last.Load())
+			}
+		}
+	}
+	report(func(r *wire.WorkerReport) bool { return r.Worker.Born == 1 })
+
+	again.Store(true)
+	r := report(func(r *wire.WorkerReport) bool { return r.Worker.Born == 2 })
+	is.Equal(r.Worker.State, wire.WorkerUnannounced)
+	is.Equal(len(r.Ended), 1)
+	orders.Sequence, orders.LastReportSent = 2, time.Hour
+	orders.Starts = []wire.StartTask{{Task: wire.TaskID{Job: "k"}, Run: 1}} // still for the earlier lifetime
+	is.NoErr(conn.Send(orders))
+	announcement.Sequence = 2
+	is.True(!a.Announce(announcement)) // of the earlier lifetime, delayed
+	sequence := s.last.Load().Sequence
+	report(func(r *wire.WorkerReport) bool { return r.Sequence > sequence+1 })
+	is.Equal(acked.Load(), int64(0))
+	is.Equal(started.Load(), int64(0))
+
+	announcement.Born, announcement.Sequence = 2, 1
+	is.True(a.Announce(announcement))
+	report(func(r *wire.WorkerReport) bool { return r.Worker.Born == 2 && r.Worker.State == wire.WorkerReady })
+}
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -40,7 +40,8 @@
 
 // hold makes one hold call. The worker answers it at once, rather than wait for
 // a run to end, while ends are unacknowledged, a poll is needed, or the last call
-// has failed.
+// has failed. After a failure the worker may have started again under its id, so
+// the call acknowledges nothing until an answer has shown the lifetime.
 func (a *Agent) hold(ctx context.Context) {
 	a.mu.Lock()
 	now := time.Now()
@@ -57,7 +58,10 @@
 		o.Wait = 0
 	}
 	a.mu.Unlock()
-	if unacked {
+	switch {
+	case a.lastHoldFailed:
+		o.Acked = 0
+	case unacked:
 		a.pause(ctx, ackWait, a.ackSignal, a.pollRequests)
 		a.mu.Lock()
 		o.Acked, o.Token, o.Wait = a.acked(), a.token(), 0
@@ -183,7 +187,11 @@
 func (a *Agent) applyReply(reply HoldReply, o HoldRequest, sent time.Time, lifetime uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if lifetime != a.lifetime || reply.Born != 0 && a.info.Born != 0 && reply.Born != a.info.Born || !sent.After(a.polledAt) {
+	if lifetime != a.lifetime || !sent.After(a.polledAt) {
+		return
+	}
+	if reply.Born != 0 && a.info.Born != 0 && reply.Born != a.info.Born {
+		a.adoptUnannounced(reply)
 		return
 	}
 	a.polledAt = sent
