Bound the poll of the job table by the limit for cancellations

Cause: only the end of a poll's time shows that its connection is silent, and the poll of the job table had 6.5 s.

Ruled out: further silent connections in the pool: a failed call closes the idle ones. A late answer of the entry: the row was in the store.

Change: the poll and its margin take four fifths of cancel_ms, which is read from the settings; without a limit they are as before.

Measured: TestCancellationBehindSilentConnection failed before and passes. Tests of io/... pass.

--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -165,7 +165,7 @@
 	p.candidate = scheduler.Start(scheduler.Config{
 		Advise: advise,
 		Node:   s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
-		Guarantees: p.catalog.Guarantees,
+		Guarantees: p.catalog.Guarantees, CancelLimit: s.CancelLimit,
 		Engine: job.Config{
 			LeaseLimit: scheduler.WorkerLeaseExpiry,
 			Retention:  max(s.Retention, minRetention) + extraRetention,
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -25,6 +25,10 @@
 	Engine  job.Config
 	Metrics *Metrics
 
+	// CancelLimit is the time within which a stored cancellation must take
+	// effect. If it is 0, there is no such limit.
+	CancelLimit time.Duration
+
 	// Advise asks the operators' advice service which workers may run a
 	// step. It returns a ticket for each allowed worker, by the worker's
 	// instance. It is nil if there is no such service.
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -17,8 +17,8 @@
 const (
 	batchDelay     = 8 * time.Millisecond // collects changes that arrive together into one transaction
 	tickInterval   = 250 * time.Millisecond
-	watchWait      = 5 * time.Second         // long poll of the job table
-	watchMargin    = 1500 * time.Millisecond // added to watchWait, for the response of the store
+	maxWatchWait   = 5 * time.Second         // long poll of the job table
+	maxWatchMargin = 1500 * time.Millisecond // added to the long poll, for the response of the store
 	releaseTimeout = time.Second             // for releasing the lease on shutdown
 	connBits       = 20                      // of a fencing token that number the agent connections of an epoch
 	lifetimeBits   = 8                       // of a fencing token in which the agent counts its worker's lifetimes
--- a/io/scheduler/tables.go
+++ b/io/scheduler/tables.go
@@ -129,13 +129,25 @@
 	return j, job.Validate(&j)
 }
 
+// watchTimes returns how long a poll of the job table waits at the store, and the time
+// added to that for the response. A connection may fall silent, which only the end of
+// both shows: together they are four fifths of the limit within which a cancellation
+// must take effect, so that the next poll, on another connection, is in time.
+func watchTimes(cancelLimit time.Duration) (wait, margin time.Duration) {
+	if cancelLimit <= 0 {
+		return maxWatchWait, maxWatchMargin
+	}
+	return min(maxWatchWait, cancelLimit*9/20), min(maxWatchMargin, cancelLimit*7/20)
+}
+
 // watchJobs adds the jobs and cancellations that entries write to the job
 // table.
 func (h *holder) watchJobs(ctx context.Context) {
+	wait, margin := watchTimes(h.cfg.CancelLimit)
 	pause := retryMin
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
-		c, err := h.cfg.Store.Watch(callCtx, TableJob, h.jobsRevision, watchWait)
+		callCtx, cancel := context.WithTimeout(ctx, wait+margin)
+		c, err := h.cfg.Store.Watch(callCtx, TableJob, h.jobsRevision, wait)
 		cancel()
 		var lost *platform.HistoryLostError
 		switch {
--- a/io/worker/submit_test.go
+++ b/io/worker/submit_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"bramleythread/io/platform"
+	"bramleythread/io/scheduler"
 	"bramleythread/io/wire"
 )
 
@@ -224,3 +225,39 @@
 		s.entries[s.holder()].Close()
 	}
 }
+
+// TestCancellationBehindSilentConnection guards against a cancelled job that goes on
+// because the scheduler's connection to the store has fallen silent. The poll of the
+// job table must end within the limit for cancellations, and the next one show it.
+func TestCancellationBehindSilentConnection(t *testing.T) {
+	is := is.New(t)
+	const limit = 3 * time.Second
+	s := newSystem(t, 0, 1)
+	var silent atomic.Bool
+	late := make(chan time.Duration, 100)
+	store := s.store.Store()
+	watch := store.Watch
+	store.Watch = func(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+		if table == scheduler.TableJob && after > 0 {
+			if end, ok := ctx.Deadline(); !ok || time.Until(end) >= limit {
+				late <- time.Until(end)
+			}
+			if silent.CompareAndSwap(true, false) {
+				<-ctx.Done()
+				return platform.Changes{}, &platform.UnavailableError{Op: "watch", Cause: ctx.Err()}
+			}
+		}
+		return watch(ctx, table, after, wait)
+	}
+	s.startEntryWith(func(cfg *scheduler.Config) { cfg.Store, cfg.CancelLimit = store, limit })
+	s.submit("j", "1m", tasks(2))
+	s.waitStarts(2)
+	silent.Store(true)
+	s.submit("k", "", tasks(1)) // ends the poll in progress, so that the next one is silent
+	s.wait(func() bool { return !silent.Load() }, func() string { return "no poll" })
+	ok, err := s.jobs(0).Cancel(context.Background(), "q", "j")
+	is.NoErr(err)
+	is.True(ok)
+	s.waitState("j", wire.JobCancelled)
+	is.Equal(len(late), 0) // polls that may last beyond the limit
+}
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -88,8 +88,8 @@
 
 func newSystem(t *testing.T, entries, workers int) *system {
 	s := &system{t: t, store: platform.NewStandin()}
-	for i := range entries {
-		s.startEntry(i)
+	for range entries {
+		s.startEntry()
 	}
 	for i := range workers {
 		w := worker.NewStandin(worker.StandinConfig{
@@ -114,14 +114,17 @@
 	return s
 }
 
-func (s *system) startEntry(i int) {
+func (s *system) startEntry() { s.startEntryWith(func(*scheduler.Config) {}) }
+
+func (s *system) startEntryWith(change func(cfg *scheduler.Config)) {
+	i := len(s.entries)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	entryStore := &storeLink{store: s.store.Store()}
 	s.links = append(s.links, entryStore)
-	s.entries = append(s.entries, scheduler.Start(scheduler.Config{
+	cfg := scheduler.Config{
 		Node: fmt.Sprintf("entry-%d", i), Address: l.Addr().(*net.TCPAddr).AddrPort(), Store: entryStore.Store(),
 		Log: zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
 			if message == "agent_linked" {
@@ -131,7 +134,9 @@
 		Metrics:    scheduler.NewMetrics(prometheus.NewRegistry()),
 		Guarantees: func() map[string]int { return nil },
 		Engine:     job.Config{LeaseLimit: scheduler.WorkerLeaseExpiry, Retention: time.Hour, RackFactor: 3},
-	}, l))
+	}
+	change(&cfg)
+	s.entries = append(s.entries, scheduler.Start(cfg, l))
 }
 
 func (s *system) startAgent(i int) {
