Count jobs as pending until a worker has started a task

Cause: a job was pending until one of its tasks was placed, and a refused placement is no start.

Ruled out: an outdated count: it is computed at the call; a count of another scheduler.

Change: a job is pending until a worker lists one of its runs or reports its end; of a restored job its progress shows that. The state of a job, queued or running, is as before.

Measured: TestPendingCountsRefusedJobs failed in three of six cases before and passes, with the tests of core/job.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -280,12 +280,12 @@
 	return slices.ContainsFunc(e.expired, func(j *Job) bool { return j.ID == id })
 }
 
-// Pending returns the number of unfinished jobs of a queue of which no task has
-// been placed yet.
+// Pending returns the number of unfinished jobs of a queue of which no task is known
+// to have started. A task that was placed may have been refused.
 func (e *Engine) Pending(queue string) int {
 	n := 0
 	for _, j := range e.jobList {
-		if j.Queue == queue && !j.state.Final() && !j.everPlaced {
+		if j.Queue == queue && !j.state.Final() && !j.everStarted {
 			n++
 		}
 	}
--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -339,3 +339,58 @@
 		is.Equal(r.number, before[i].number)
 	}
 }
+
+// TestPendingCountsRefusedJobs guards against a job that is left out of the number of
+// pending ones although no task of it has started: its worker refuses all starts.
+func TestPendingCountsRefusedJobs(t *testing.T) {
+	id := wire.TaskID{Job: "j"}
+	run := func(r *wire.WorkerReport) { r.Running = []wire.RunningTask{{Task: id, Run: 1}} }
+	tests := map[string]struct {
+		report  func(r *wire.WorkerReport) // by the worker on which it was placed
+		restart bool                       // the scheduler, after the report
+		pending int
+	}{
+		"start not reported yet": {report: func(r *wire.WorkerReport) { r.Running = nil }, pending: 1},
+		"refused": {
+			report: func(r *wire.WorkerReport) {
+				r.Running, r.Refused = nil, []wire.RefusedRun{{Task: id, Run: 1, Reason: "unhealthy"}}
+			},
+			pending: 1,
+		},
+		"refused, new scheduler": {
+			restart: true,
+			report: func(r *wire.WorkerReport) {
+				r.Running, r.Refused = nil, []wire.RefusedRun{{Task: id, Run: 1, Reason: "unhealthy"}}
+			},
+			pending: 1,
+		},
+		"started": {report: run},
+		"failed": {
+			report: func(r *wire.WorkerReport) {
+				r.Running, r.Ended = nil, []wire.EndedRun{{Number: 1, Task: id, Run: 1, End: wire.EndFailed}}
+			},
+		},
+		"failed, new scheduler": {
+			restart: true,
+			report: func(r *wire.WorkerReport) {
+				r.Running, r.Ended = nil, []wire.EndedRun{{Number: 1, Task: id, Run: 1, End: wire.EndFailed}}
+			},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			f.workers(1)
+			f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+			is.Equal(f.e.Pending("q"), 1)
+			f.tick()
+			f.report(node(0), tt.report, nil)
+			f.commit()
+			if tt.restart {
+				f.restart()
+			}
+			is.Equal(f.e.Pending("q"), tt.pending)
+		})
+	}
+}
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -21,6 +21,7 @@
 	state               wire.JobState
 	durableState        wire.JobState // the last committed state
 	everPlaced          bool          // a task has been placed at least once
+	everStarted         bool          // a worker is known to have started a task
 	stages              map[stageKey]*stage
 	stageList           []*stage // in order of creation; without those of done occurrences
 	openOccurrences     map[int]bool
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -162,6 +162,7 @@
 		return
 	}
 	j := r.task.stage.job
+	j.everStarted = true
 	e.endRun(r, end.End, end.Checkpoint, r.endReason(end.End), now)
 	a := ack{number: end.Number}
 	if j.writtenVersion < j.version { // also if the change was made by another end
@@ -217,6 +218,7 @@
 // updateRun updates a run from the worker's report.
 func (e *Engine) updateRun(r *run, t wire.RunningTask, now time.Time) {
 	if r.startedAt.IsZero() {
+		r.task.stage.job.everStarted = true
 		r.startedAt, r.progressAt = now, now
 		r.firstPercent, r.percent = t.Percent, t.Percent
 	}
--- a/core/job/restore.go
+++ b/core/job/restore.go
@@ -15,6 +15,7 @@
 		return
 	}
 	j.state, j.durableState, j.everPlaced = p.State, p.State, len(p.Stages)+len(p.Done) > 0
+	j.everStarted = len(p.Done) > 0
 	j.version, j.writtenVersion = 1, 1
 	j.restoreDone(p.Done)
 	for _, sp := range p.Stages {
@@ -54,6 +55,7 @@
 		j.openOccurrences[sp.Occurrence] = true
 	}
 	s.failures = sp.Failures
+	j.everStarted = j.everStarted || hasStarted(sp)
 	if len(sp.Tasks) == 0 {
 		for _, t := range s.tasks {
 			t.done = true
@@ -75,6 +77,14 @@
 	}
 }
 
+// hasStarted reports whether the progress of a stage shows that a worker has started
+// one of its tasks.
+func hasStarted(sp wire.StageProgress) bool {
+	return len(sp.Tasks) == 0 || sp.Failures > 0 || slices.ContainsFunc(sp.Tasks, func(t wire.TaskProgress) bool {
+		return t.Done || t.Failures > 0 || t.Checkpoint != ""
+	})
+}
+
 // matches reports whether the progress of a stage is one of the job's steps.
 func (j *Job) matches(sp wire.StageProgress) bool {
 	switch {
