Exclude a job and the cancellation of a job that is not stored

Cause: a write without an answer may be applied later if its condition holds, and the only one was that there is no such job. The cancellation of an unknown job left nothing.

Change: a cancellation of a job that is not stored inserts its row on condition that there is no job, and each submission requires that there is no cancellation. A submission that finds one is answered by 503 without Retry-After. The scheduler deletes cancellations without a job after the retention time, beside other writes.

Measured: TestCancelledSubmissionIsNotStoredLater failed in its four cases before, and TestOrphanedCancellationsAreDeleted failed; both pass.

--- a/io/caller/jobs.go
+++ b/io/caller/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"bramleythread/io/frame"
@@ -84,7 +85,7 @@
 	}
 	key := scheduler.TableJob + "/" + j.ID
 	w := insertion{store: s.Store, start: time.Now(), txn: platform.Txn{
-		Conditions: []platform.Condition{{Key: key}},
+		Conditions: []platform.Condition{{Key: key}, {Key: key + scheduler.CancelSuffix}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
 	}}
 	for {
@@ -95,18 +96,28 @@
 			return true, nil
 		case wire.SubmitUnknown:
 			w.maybeApplied = true
+		case wire.SubmitCancelled:
+			return false, &NotAcceptedError{Reason: reasonCancelled}
 		}
 		if !w.maybeApplied {
 			if err := s.checkStore(ctx); err != nil {
 				return false, err
 			}
 		}
-		if done, duplicate, err := w.attempt(ctx); done {
+		done, duplicate, err := w.attempt(ctx)
+		if duplicate && !w.exists(key) && w.exists(key+scheduler.CancelSuffix) {
+			return false, &NotAcceptedError{Reason: reasonCancelled}
+		}
+		if done {
 			return duplicate, err
 		}
 	}
 }
 
+// reasonCancelled is the reason of a NotAcceptedError for a job that was cancelled
+// before it was stored. Submitting it again has no other result.
+const reasonCancelled = "cancelled"
+
 // submitToScheduler asks the scheduler to store a job. A request that was not sent
 // counts as declined; after other failures the outcome is unknown.
 func (s *Jobs) submitToScheduler(ctx context.Context, j wire.Job) wire.SubmitOutcome {
@@ -165,7 +176,13 @@
 	store        platform.Store
 	txn          platform.Txn
 	start        time.Time
-	maybeApplied bool // an unconfirmed write may have been applied, or may be later
+	maybeApplied bool           // an unconfirmed write may have been applied, or may be later
+	existing     []platform.Row // rows that kept the last attempt from being applied
+}
+
+// exists reports whether a row kept the last attempt from being applied.
+func (w *insertion) exists(key string) bool {
+	return slices.ContainsFunc(w.existing, func(r platform.Row) bool { return r.Key == key && r.Revision > 0 })
 }
 
 // attempt commits the transaction once. done is false if it must be called again:
@@ -181,6 +198,7 @@
 	case err == nil:
 		return true, false, nil
 	case errors.As(err, &conflict):
+		w.existing = conflict.Rows
 		return true, true, nil
 	case !errors.As(err, &unavailable):
 		return true, false, &UnknownOutcomeError{Cause: err}
@@ -195,16 +213,6 @@
 	return true, false, &NotAcceptedError{Reason: "store_unavailable", RetryAfter: busyRetryAfter}
 }
 
-// insertRow inserts one row. duplicate reports that it already existed.
-func (s *Jobs) insertRow(ctx context.Context, t platform.Txn) (duplicate bool, err error) {
-	w := insertion{store: s.Store, start: time.Now(), txn: t}
-	for {
-		if done, duplicate, err := w.attempt(ctx); done {
-			return duplicate, err
-		}
-	}
-}
-
 // sleepContext sleeps, and reports false if ctx ends first.
 func sleepContext(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -273,21 +281,42 @@
 	}
 }
 
-// Cancel marks a job as cancelled. ok is false if no such job was accepted.
+// Cancel marks a job as cancelled. ok is false if no such job was accepted. A
+// submission of it that is not stored by then never will be.
 func (s *Jobs) Cancel(ctx context.Context, queue, id string) (ok bool, err error) {
-	state, ok, err := s.State(ctx, queue, id)
-	if err != nil || !ok {
-		return ok, err
+	for {
+		state, known, err := s.State(ctx, queue, id)
+		if err != nil || known && state.Final() {
+			return known && err == nil, err
+		}
+		storedSince, err := s.insertCancellation(ctx, id, known)
+		s.Log.Info().Str("job", id).Bool("known", known).Str("state", string(state)).Bool("stored_since", storedSince).Err(err).Msg("cancel")
+		if err != nil || !storedSince {
+			return known && err == nil, err
+		}
+		if j, _, err := s.readJob(ctx, id); err != nil || j.Queue != queue {
+			return false, err
+		}
+	}
+}
+
+// insertCancellation inserts the row that marks a job as cancelled. For a job that is
+// not known it inserts the row only if the job is not stored; otherwise storedSince
+// is true.
+func (s *Jobs) insertCancellation(ctx context.Context, id string, known bool) (storedSince bool, err error) {
+	key := scheduler.TableJob + "/" + id
+	w := insertion{store: s.Store, start: time.Now(), txn: platform.Txn{
+		Conditions: []platform.Condition{{Key: key + scheduler.CancelSuffix}},
+		Writes:     []platform.Write{{Key: key + scheduler.CancelSuffix, Value: []byte{1}}},
+	}}
+	if !known {
+		w.txn.Conditions = append(w.txn.Conditions, platform.Condition{Key: key})
 	}
-	if !state.Final() {
-		key := scheduler.TableJob + "/" + id + scheduler.CancelSuffix
-		_, err = s.insertRow(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: key}},
-			Writes:     []platform.Write{{Key: key, Value: []byte{1}}},
-		})
+	for {
+		if done, _, err := w.attempt(ctx); done {
+			return !known && w.exists(key), err
+		}
 	}
-	s.Log.Info().Str("job", id).Str("state", string(state)).Err(err).Msg("cancel")
-	return err == nil, err
 }
 
 // Pending returns the number of a queue's jobs that have not started.
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +45,7 @@
 	failure        error                    // unexpected error that ends the term
 	queued         []*submission            // submissions for the next transactions
 	unfinished     map[string]*submission   // submissions without an outcome, by job ID
+	orphans        map[string]time.Time     // when cancellations without a job were read, by job ID
 	adviceMu       sync.Mutex               // the service handles one request at a time from each machine
 }
 
@@ -58,6 +58,7 @@
 		agents:      make(map[string]*agentLink),
 		links:       make(map[*frame.Conn]struct{}),
 		unfinished:  make(map[string]*submission),
+		orphans:     make(map[string]time.Time),
 		confirmedAt: w.committedAt,
 	}
 	w.onFailure = func(since time.Duration) {
@@ -187,21 +188,27 @@
 		if err != nil {
 			return err
 		}
+		expired := h.expiredOrphans(batch, time.Now())
+		for _, id := range expired {
+			c.writes = append(c.writes, platform.Write{Key: TableJob + "/" + id + CancelSuffix, Delete: true})
+		}
 		err = h.write(ctx, c)
 		var exist *RowsExistError
 		var rejected *WriteRejectedError
 		switch {
 		case err == nil:
 			h.finishAll(submitted, wire.SubmitStored)
+			h.forgetOrphans(expired)
 			return nil
 		case errors.As(err, &exist) && len(submitted) > 0:
-			present := withExistingRows(submitted, exist.Rows)
-			h.withdraw(batch, present, exist.Rows, wire.SubmitKnown)
-			submitted = slices.DeleteFunc(submitted, func(s *submission) bool { return slices.Contains(present, s) })
-			if len(present) == 0 { // the store did not return the existing rows
+			present, cancelled, rest := partition(submitted, exist.Rows)
+			if len(present)+len(cancelled) == 0 { // the store did not return the existing rows
 				h.withdraw(batch, submitted, nil, wire.SubmitUnknown)
-				submitted = nil
+				rest = nil
 			}
+			h.withdraw(batch, present, exist.Rows, wire.SubmitKnown)
+			h.withdraw(batch, cancelled, nil, wire.SubmitCancelled)
+			submitted = rest
 		case errors.As(err, &rejected):
 			h.withdraw(batch, submitted, nil, wire.SubmitDeclined)
 			submitted = nil
--- a/io/scheduler/lease.go
+++ b/io/scheduler/lease.go
@@ -139,15 +139,15 @@
 	bootTime    func() time.Duration
 }
 
-// changes are the writes of a transaction besides the lease. Inserts require
-// that none of their rows exists yet.
+// changes are the writes of a transaction besides the lease. Inserts are rows of
+// jobs, and require that neither they nor their cancellations exist yet.
 type changes struct {
 	writes  []platform.Write
 	inserts []platform.Write
 }
 
-// RowsExistError means that rows to insert exist already. The transaction has
-// changed nothing.
+// RowsExistError means that rows to insert, or their cancellations, exist already.
+// The transaction has changed nothing.
 type RowsExistError struct {
 	Rows []platform.Row
 }
@@ -196,7 +196,7 @@
 	}
 	t.Writes = append(t.Writes, c.writes...)
 	for _, row := range c.inserts {
-		t.Conditions = append(t.Conditions, platform.Condition{Key: row.Key})
+		t.Conditions = append(t.Conditions, platform.Condition{Key: row.Key}, platform.Condition{Key: row.Key + CancelSuffix})
 		t.Writes = append(t.Writes, row)
 	}
 	return t, nil
--- a/io/scheduler/submit.go
+++ b/io/scheduler/submit.go
@@ -145,13 +145,24 @@
 	h.requestRound()
 }
 
-// withExistingRows returns the submissions whose rows exist already.
-func withExistingRows(submitted []*submission, rows []platform.Row) []*submission {
-	var present []*submission
+// partition splits submissions by the rows that kept them from being inserted: those
+// whose job is stored already, those that were cancelled before they were stored, and
+// the rest.
+func partition(submitted []*submission, rows []platform.Row) (present, cancelled, rest []*submission) {
+	existing := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		existing[r.Key] = true
+	}
 	for _, s := range submitted {
-		if slices.ContainsFunc(rows, func(r platform.Row) bool { return r.Key == TableJob+"/"+s.job.ID }) {
+		key := TableJob + "/" + s.job.ID
+		switch {
+		case existing[key]:
 			present = append(present, s)
+		case existing[key+CancelSuffix]:
+			cancelled = append(cancelled, s)
+		default:
+			rest = append(rest, s)
 		}
 	}
-	return present
+	return present, cancelled, rest
 }
--- a/io/scheduler/tables.go
+++ b/io/scheduler/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -91,6 +92,43 @@
 		_, state, known := h.engine.State(id)
 		h.cfg.Log.Info().Str("job", id).Bool("known", known).Bool("stored", known && h.unfinished[id] == nil).Str("state", string(state)).Msg("cancellation_read")
 		h.engine.Cancel(id, now)
+		if _, seen := h.orphans[id]; !known && !seen && !h.engine.Expiring(id) {
+			h.orphans[id] = now
+		}
+	}
+}
+
+// maxOrphanDeletes is how many cancellations without a job one transaction deletes,
+// beside a batch of at most maxBatchBesideOrphans rows.
+const (
+	maxOrphanDeletes      = 20
+	maxBatchBesideOrphans = 40
+)
+
+// expiredOrphans returns the IDs of cancellations whose jobs were never stored, and
+// which no delayed submission can need any more, as far as they fit beside the batch.
+func (h *holder) expiredOrphans(b *job.Batch, now time.Time) []string {
+	if b != nil && len(b.Progress)+3*len(b.Expired) > maxBatchBesideOrphans {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ids []string
+	for id, at := range h.orphans {
+		if len(ids) < maxOrphanDeletes && now.Sub(at) > h.cfg.Engine.Retention {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// forgetOrphans removes cancellations whose rows have been deleted.
+func (h *holder) forgetOrphans(ids []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, id := range ids {
+		delete(h.orphans, id)
 	}
 }
 
@@ -112,6 +150,7 @@
 		return
 	}
 	h.engine.Restore(j, p, now)
+	delete(h.orphans, j.ID)
 	h.cfg.Log.Info().Str("job", j.ID).Str("queue", j.Queue).Str("customer", j.Customer).Dur("age", now.Sub(j.Accepted)).Msg("job_taken_in")
 }
 
--- a/io/scheduler/tables_test.go
+++ b/io/scheduler/tables_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"math"
 	"testing"
 	"time"
@@ -83,3 +84,38 @@
 	is.True(known)
 	is.Equal(state, wire.JobQueued)
 }
+
+// TestOrphanedCancellationsAreDeleted guards against rows that stay for ever: those of
+// cancellations whose jobs were never stored. They are kept for the retention time.
+func TestOrphanedCancellationsAreDeleted(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := platform.NewStandin().Store()
+	j := wire.Job{ID: "stored", Queue: "q", Service: "s", Attempts: 1, Accepted: time.Now(), Steps: []wire.JobStep{{Count: 1}}}
+	value, err := j.MarshalMsg(nil)
+	is.NoErr(err)
+	put := func(key string, value []byte) {
+		_, err := store.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: TableJob + "/" + key, Value: value}}})
+		is.NoErr(err)
+	}
+	put("stored", value)
+	put("early"+CancelSuffix, []byte{1})
+	startCandidate(t, store, func(cfg *Config) { cfg.Engine.Retention = 500 * time.Millisecond })
+	waitLease(t, store, func(l wire.SchedulerLease) bool { return l.Sequence > 1 })
+	put("late"+CancelSuffix, []byte{1})
+	for _, key := range []string{"early", "late"} {
+		for end := time.Now().Add(linkTestTimeout); ; time.Sleep(10 * time.Millisecond) {
+			row, err := store.Get(ctx, TableJob+"/"+key+CancelSuffix)
+			is.NoErr(err)
+			if row.Revision == 0 {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("the cancellation of %s is not deleted", key)
+			}
+		}
+	}
+	row, err := store.Get(ctx, TableJob+"/stored")
+	is.NoErr(err)
+	is.True(row.Revision > 0)
+}
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -314,6 +314,10 @@
 	SubmitKnown    SubmitOutcome = "known"    // a job with this id was stored before
 	SubmitDeclined SubmitOutcome = "declined" // the scheduler has not written it and never will
 	SubmitUnknown  SubmitOutcome = "unknown"  // it may have been written, or may still be
+
+	// SubmitCancelled means that the job was cancelled before it could be stored,
+	// and never will be.
+	SubmitCancelled SubmitOutcome = "cancelled"
 )
 
 // SubmitAnswer is the reply to a SubmitJob.
--- a/io/worker/submit_test.go
+++ b/io/worker/submit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"bramleythread/io/caller"
 	"bramleythread/io/platform"
 	"bramleythread/io/scheduler"
 	"bramleythread/io/wire"
@@ -261,3 +263,94 @@
 	s.waitState("j", wire.JobCancelled)
 	is.Equal(len(late), 0) // polls that may last beyond the limit
 }
+
+// TestCancelledSubmissionIsNotStoredLater guards against a job that runs after its
+// cancellation was answered: there was no such job, but a write of its submission was
+// on its way.
+func TestCancelledSubmissionIsNotStoredLater(t *testing.T) {
+	tests := map[string]struct {
+		direct bool // the entry stores the job, not the scheduler
+		lost   bool // the first write gets no answer, and is applied after the cancellation
+	}{
+		"scheduler's write":                {},
+		"scheduler's write, applied later": {lost: true},
+		"entry's own write":                {direct: true},
+		"entry's own write, applied later": {direct: true, lost: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newSystem(t, 1, 1)
+			s.submit("first", "", tasks(1))
+			s.waitState("first", wire.JobCompleted)
+			cancelled := make(chan bool, 1)
+			var once sync.Once
+			store := s.links[0].Store()
+			if tt.direct {
+				store = s.store.Store()
+			}
+			commit := store.Commit
+			store.Commit = func(ctx context.Context, txn platform.Txn) (uint64, error) {
+				stores := slices.ContainsFunc(txn.Writes, func(w platform.Write) bool { return w.Key == "job/j" })
+				var err error
+				if stores {
+					once.Do(func() {
+						var ok bool
+						ok, err = s.jobs(0).Cancel(context.Background(), "q", "j")
+						is.NoErr(err)
+						cancelled <- ok
+						if tt.lost {
+							err = &platform.UnavailableError{Op: "commit", MaybeApplied: true}
+							_, _ = commit(context.Background(), txn) // whose answer is lost
+						}
+					})
+				}
+				if err != nil {
+					return 0, err
+				}
+				return commit(ctx, txn)
+			}
+			jobs := s.jobs(0)
+			if tt.direct {
+				jobs.Store = store
+				jobs.CallScheduler = func(context.Context, wire.Message) (wire.Message, error) { return nil, &scheduler.NoSchedulerError{} }
+			} else {
+				s.entries[0].Close()
+				s.startEntryWith(func(cfg *scheduler.Config) { cfg.Store = store })
+				jobs = s.jobs(1)
+				s.wait(func() bool {
+					_, err := s.entries[1].Call(context.Background(), &wire.QueueQuery{Queue: "q"})
+					return err == nil
+				}, func() string { return "the entry is not the scheduler" })
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			err := jobs.Submit(ctx, wire.Job{
+				ID: "j", Queue: "q", Service: "podcheck", Attempts: 3, Stretch: 3, Accepted: time.Now(), Steps: []wire.JobStep{tasks(1)},
+			})
+			var refused *caller.NotAcceptedError
+			is.True(errors.As(err, &refused))
+			is.Equal(refused.Reason, "cancelled")
+			is.True(!<-cancelled) // there was no such job
+			row, err := s.store.Store().Get(ctx, "job/j")
+			is.NoErr(err)
+			is.Equal(row.Revision, uint64(0))
+		})
+	}
+}
+
+// TestCancelOfOtherQueuesJob cancels a job by the path of another queue. It must not be
+// cancelled, and the call must return.
+func TestCancelOfOtherQueuesJob(t *testing.T) {
+	is := is.New(t)
+	s := newSystem(t, 1, 1)
+	s.submit("j", "1m", tasks(1))
+	s.waitStarts(1)
+	ok, err := s.jobs(0).Cancel(context.Background(), "other", "j")
+	is.NoErr(err)
+	is.True(!ok)
+	row, err := s.store.Store().Get(context.Background(), "job/j.cancel")
+	is.NoErr(err)
+	is.Equal(row.Revision, uint64(0))
+}
