Let done runs end the probing of a service

Cause: only a run that has gone on for 0.5 s cleared the failures of a service.

Ruled out: the workers' own health, which done runs clear: the service's is kept apart.

Change: a run that was placed after the first failure and is done clears them too.

Measured: TestServiceWithShortRunsRecovers failed before (no recovery in 10 s) and passes, with the tests of core.

--- a/core/job/health_test.go
+++ b/core/job/health_test.go
@@ -220,3 +220,53 @@
 	is.Equal(kinds("service_recovered"), 1)
 	is.True(kinds("place")-before >= 30) // the jobs that are left run
 }
+
+// TestServiceWithShortRunsRecovers guards against a service that is probed for good
+// after its workers were sick for a moment, because none of its runs takes as long as
+// a run that counts as a survivor.
+func TestServiceWithShortRunsRecovers(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	f.workers(3)
+	sick := true
+	round := func() {
+		f.now = f.now.Add(100 * time.Millisecond)
+		for i := range 3 {
+			ends := make(map[wire.TaskID]wire.RunEnd)
+			for id, r := range f.e.workers[node(i)].runs {
+				switch age := f.now.Sub(r.placedAt); {
+				case sick && age > 0:
+					ends[id] = wire.EndFailed
+				case age >= 300*time.Millisecond:
+					ends[id] = wire.EndDone
+				}
+			}
+			f.report(node(i), nil, ends)
+		}
+		f.tick()
+	}
+	short := step(1, 8)
+	short.Estimate = 300 * time.Millisecond
+	for i := range 30 {
+		f.e.Submit(f.job(fmt.Sprintf("j%d", i), 1, short), f.now)
+	}
+	kinds := func(kind string) int {
+		return len(slices.DeleteFunc(slices.Clone(f.decisions), func(d Decision) bool { return d.Kind != kind }))
+	}
+	for kinds("service_unhealthy") == 0 && len(f.decisions) < 1000 {
+		round()
+	}
+	is.Equal(kinds("service_unhealthy"), 1)
+	sick = false
+	for range 100 { // 10 s, in which three workers have room for 75 runs
+		round()
+	}
+	is.Equal(kinds("service_recovered"), 1)
+	done := 0
+	for i := range 30 {
+		if f.state(fmt.Sprintf("j%d", i)) == wire.JobCompleted {
+			done++
+		}
+	}
+	is.True(done >= 25)
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -325,6 +325,7 @@
 	case how == wire.EndDone && !s.step.LongRunning:
 		e.recordRunTime(r, now)
 		r.worker.health.recordSuccess(r)
+		e.recordServiceSuccess(r, now)
 		e.markDone(t, now)
 	case how == wire.EndFailed:
 		e.countFailure(t, now)
--- a/core/job/service_health.go
+++ b/core/job/service_health.go
@@ -52,16 +52,29 @@
 // checkSurvivors clears the early failures of services on which a later run goes on.
 func (e *Engine) checkSurvivors(now time.Time) {
 	for name, h := range e.services {
-		if h.jobs == 0 || !e.hasSurvivor(name, h.since, now) {
-			continue
-		}
-		if h.jobs >= unhealthyThreshold {
-			e.recordDecision(Decision{Kind: "service_recovered", Job: h.lastJob, Reason: name, Age: now.Sub(h.since)})
+		if h.jobs > 0 && e.hasSurvivor(name, h.since, now) {
+			e.resetService(name, now)
 		}
-		h.jobs, h.lastJob = 0, ""
 	}
 }
 
+// recordServiceSuccess records that a run is done. Runs may be shorter than
+// survivalTime.
+func (e *Engine) recordServiceSuccess(r *run, now time.Time) {
+	if h := e.services[r.worker.Service]; h != nil && h.jobs > 0 && r.placedAt.After(h.since) {
+		e.resetService(r.worker.Service, now)
+	}
+}
+
+// resetService forgets the failures of a service.
+func (e *Engine) resetService(name string, now time.Time) {
+	h := e.services[name]
+	if h.jobs >= unhealthyThreshold {
+		e.recordDecision(Decision{Kind: "service_recovered", Job: h.lastJob, Reason: name, Age: now.Sub(h.since)})
+	}
+	h.jobs, h.lastJob = 0, ""
+}
+
 // hasSurvivor reports whether the workers of a service list a run that was placed after
 // a time and has gone on for survivalTime.
 func (e *Engine) hasSurvivor(service string, since, now time.Time) bool {
