Count members of a gang that fail in the same run once

Cause: each end counted as a failed run of the gang, and a gang fails as a whole.

Ruled out: that the second end is dropped: the members' runs are kept until they end.

Change: the stage keeps the number of the last run that failed. It is not in the job's row, so two ends on both sides of a change of the scheduler still count twice.

Measured: TestGangMembersThatFailTogetherAreOneAttempt failed before (failed, want running) and passes, with the tests of core/job and core/emulate.

--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -394,3 +394,27 @@
 		})
 	}
 }
+
+// TestGangMembersThatFailTogetherAreOneAttempt guards against a job that fails before
+// its attempts are used, because two members of a gang fail in the same run.
+func TestGangMembersThatFailTogetherAreOneAttempt(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	f.workers(1)
+	f.e.Submit(f.job("j", 1, gang(2, 2)), f.now) // two attempts
+	fail := func() {
+		f.tick()
+		is.Equal(len(f.runs("j")), 2)
+		f.report(node(0), nil, nil)
+		f.now = f.now.Add(time.Second)
+		f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: wire.EndFailed, {Job: "j", Index: 1}: wire.EndFailed})
+		f.now = f.now.Add(10 * time.Second)
+		f.report(node(0), nil, nil)
+	}
+	fail()
+	f.tick()
+	is.Equal(f.state("j"), wire.JobRunning)
+	fail()
+	f.tick()
+	is.Equal(f.state("j"), wire.JobFailed)
+}
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -48,6 +48,7 @@
 	tasksLeft  int // tasks not done
 	activeRuns int // tasks with an active run
 	failures   int // failed runs of a gang
+	failedRun  int // number of the last of them
 	readyAt    time.Time
 	retryAt    time.Time       // no placement before this time
 	lastFailed lastFailure     // of a gang
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -328,7 +328,7 @@
 		e.recordServiceSuccess(r, now)
 		e.markDone(t, now)
 	case how == wire.EndFailed:
-		e.countFailure(t, now)
+		e.countFailure(r, now)
 		if s.step.Gang && s.activeRuns > 0 {
 			e.stopRemainingMembers(s)
 		}
@@ -372,12 +372,17 @@
 	}
 }
 
-// countFailure counts a failure of a task or its gang and fails the job if no
-// attempts are left.
-func (e *Engine) countFailure(t *task, now time.Time) {
-	s := t.stage
+// countFailure counts the failure of a task's run, or of its gang's, and fails the job
+// if no attempts are left. Several members of a gang that fail in the same run are one
+// failure.
+func (e *Engine) countFailure(r *run, now time.Time) {
+	t, s := r.task, r.task.stage
 	failures := &t.failures
 	if s.step.Gang {
+		if r.number == s.failedRun {
+			return
+		}
+		s.failedRun = r.number
 		failures = &s.failures
 		s.lastFailed = t.lastFailed
 	}
