Do not take in an expired job while its rows are being deleted

Callers would see: a job that ended minutes ago runs again, if the scheduler reads the whole job table, after its history was lost, while it deletes the job's rows (suspected by the review, which could not try it).

Cause: a job was expiring only until the batch with its deletion was made, not until that was committed; and a read that was made before the commit could be applied after it.

Ruled out: a late submission of the same job: its row has a newer revision, and is taken in.

Change: the engine keeps the ids of a batch until it is committed. The holder ignores rows that are older than their deletion until the watch of the table has passed it.

Measured: TestExpiredJobIsNotTakenInAgain failed in two of three cases before and passes, with the tests of core/job and io/scheduler.

--- a/core/job/commit.go
+++ b/core/job/commit.go
@@ -51,6 +51,7 @@
 	e.dirty = append([]*Job(nil), e.dirty[n:]...)
 	for len(e.expired) > 0 && n+rowsPerExpiredJob*(len(b.Expired)+1) <= maxBatchRows {
 		b.Expired = append(b.Expired, e.expired[0].ID)
+		e.deleting[e.expired[0].ID] = struct{}{}
 		e.expired = e.expired[1:]
 	}
 	return b
@@ -62,6 +63,9 @@
 		c.job.writtenVersion = c.version
 		c.job.durableState = c.Progress.State
 	}
+	for _, id := range b.Expired {
+		delete(e.deleting, id)
+	}
 	for _, w := range e.workers {
 		e.ackDurableEnds(w)
 		for _, r := range w.runs {
--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -50,6 +50,7 @@
 	guaranteed        map[string]int           // accelerators by customer
 	dirty             []*Job                   // with changes that are not flushed
 	expired           []*Job                   // with rows to delete
+	deleting          map[string]struct{}      // IDs of expired jobs in batches that are not committed
 	runTimes          map[string]*queueRunTime // by queue
 	unhealthyServices map[string]bool          // services that are probed only
 	services          map[string]*serviceHealth
@@ -70,6 +71,7 @@
 		runTimes:          make(map[string]*queueRunTime),
 		unhealthyServices: make(map[string]bool),
 		services:          make(map[string]*serviceHealth),
+		deleting:          make(map[string]struct{}),
 		holders:           make(map[*stage]struct{}),
 		reserved:          make(map[*stage]*reservation),
 		createdAt:         now,
@@ -275,8 +277,12 @@
 	return j.Queue, state, true
 }
 
-// Expiring reports whether the rows of a job are about to be deleted.
+// Expiring reports whether the rows of a job are about to be deleted, or are being
+// deleted by a batch that is not committed yet.
 func (e *Engine) Expiring(id string) bool {
+	if _, ok := e.deleting[id]; ok {
+		return true
+	}
 	return slices.ContainsFunc(e.expired, func(j *Job) bool { return j.ID == id })
 }
 
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -46,6 +46,7 @@
 	queued         []*submission            // submissions for the next transactions
 	unfinished     map[string]*submission   // submissions without an outcome, by job ID
 	orphans        map[string]time.Time     // when cancellations without a job were read, by job ID
+	deleted        map[string]uint64        // revisions at which rows of jobs were deleted, which the watch may not have passed
 	adviceMu       sync.Mutex               // the service handles one request at a time from each machine
 }
 
@@ -59,6 +60,7 @@
 		links:       make(map[*frame.Conn]struct{}),
 		unfinished:  make(map[string]*submission),
 		orphans:     make(map[string]time.Time),
+		deleted:     make(map[string]uint64),
 		confirmedAt: w.committedAt,
 	}
 	w.onFailure = func(since time.Duration) {
@@ -156,6 +158,9 @@
 	h.confirmedAt, h.offered = h.writer.committedAt, false
 	if batch != nil {
 		h.engine.MarkCommitted(batch)
+		for _, id := range batch.Expired {
+			h.deleted[id] = h.writer.revision
+		}
 	}
 	for _, node := range h.engine.TakeChangedNodes() {
 		h.notifyAgent(node)
--- a/io/scheduler/tables.go
+++ b/io/scheduler/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -70,6 +71,7 @@
 		}
 	}
 	h.restoreRows(c.Rows, states)
+	maps.DeleteFunc(h.deleted, func(_ string, revision uint64) bool { return revision <= c.Revision })
 	h.jobsRevision = c.Revision
 }
 
@@ -146,7 +148,7 @@
 		h.cfg.Log.Error().Str("row", row.Key).Err(err).Msg("row_not_read")
 		return
 	}
-	if _, _, known := h.engine.State(j.ID); known || h.engine.Expiring(j.ID) {
+	if _, _, known := h.engine.State(j.ID); known || h.engine.Expiring(j.ID) || row.Revision < h.deleted[j.ID] {
 		return
 	}
 	h.engine.Restore(j, p, now)
--- a/io/scheduler/tables_test.go
+++ b/io/scheduler/tables_test.go
@@ -119,3 +119,48 @@
 	is.NoErr(err)
 	is.True(row.Revision > 0)
 }
+
+// TestExpiredJobIsNotTakenInAgain guards against work that is done again: the whole job
+// table, read after its history was lost, still has the row of a job that the scheduler
+// is deleting, or has deleted since.
+func TestExpiredJobIsNotTakenInAgain(t *testing.T) {
+	tests := map[string]func(h *holder, b *job.Batch){
+		"expired":              func(*holder, *job.Batch) {},
+		"deletion in progress": func(h *holder, b *job.Batch) { *b = *h.engine.Flush() },
+		"deletion committed after the read": func(h *holder, b *job.Batch) {
+			*b = *h.engine.Flush()
+			h.writer.revision = 20
+			h.finishRound(context.Background(), b, time.Now())
+		},
+	}
+	for name, advance := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			j := wire.Job{ID: "j", Queue: "q", Service: "s", Attempts: 1, Accepted: now, Steps: []wire.JobStep{{Count: 1}}}
+			value, err := j.MarshalMsg(nil)
+			is.NoErr(err)
+			h := newHolder(Config{Log: zerolog.Nop(), Engine: job.Config{Retention: time.Minute}}, &writer{bootTime: platform.BootTime})
+			rows := platform.Changes{Revision: 10, Rows: []platform.Row{{Key: TableJob + "/j", Value: value, Revision: 7}}}
+			h.applyJobRows(rows, nil)
+			h.engine.Cancel("j", now)
+			h.engine.MarkCommitted(h.engine.Flush())
+			h.engine.Expire(now.Add(2 * time.Minute))
+			var batch job.Batch
+			advance(h, &batch)
+			h.applyJobRows(rows, nil)
+			_, _, known := h.engine.State("j")
+			is.True(!known)
+
+			// The watch has passed the deletion, and another job has the id.
+			h.engine.MarkCommitted(&batch)
+			if b := h.engine.Flush(); b != nil {
+				h.engine.MarkCommitted(b)
+			}
+			h.applyJobRows(platform.Changes{Revision: 30, Rows: []platform.Row{{Key: TableJob + "/j", Value: value, Revision: 25}}}, nil)
+			_, _, known = h.engine.State("j")
+			is.True(known)
+			is.Equal(len(h.deleted), 0)
+		})
+	}
+}
