Do not order the lifetimes of a worker by their start times

Callers would see: a worker that gets no work, and jobs that wait for its label, if it starts again after its VM's clock was set back (suspected by the review, not tried there).

Cause: the agent ignored announcements, and the scheduler reports, of a lifetime with an earlier start time than the last one.

Ruled out: that the order is needed against delayed announcements: the worker's answers deny a lifetime that is not its own; against delayed reports: they come on the agent's present connection only, in order.

Change: an earlier start time counts if an answer of the worker shows it. The scheduler ends the runs of every lifetime other than the reported one.

Measured: TestLifetimeAfterClockStep fails in four of six cases before and passes, with the tests of core/job, io/worker and core/emulate.

--- a/core/job/report.go
+++ b/core/job/report.go
@@ -10,14 +10,13 @@
 )
 
 // Report processes an agent's report on its worker. It ignores a report that is
-// older than the last one processed, or of an earlier worker lifetime, and returns
-// false.
+// older than the last one processed, and returns false.
 func (e *Engine) Report(r *wire.WorkerReport, now time.Time) bool {
 	w := e.workers[r.Node]
 	if w == nil || w.Instance != r.Worker.Instance || w.Born != r.Worker.Born {
 		w = e.workerLifetime(r, now)
 	}
-	if w == nil || r.Sequence <= w.sequence {
+	if r.Sequence <= w.sequence {
 		return false
 	}
 	w.sequence, w.lastReport = r.Sequence, now
@@ -76,21 +75,19 @@
 	}
 }
 
-// workerLifetime returns the row of the worker lifetime in a report, or nil if a
-// later one at the same agent is known. It ends the runs of earlier lifetimes, except
-// those that the worker has started in this one.
+// workerLifetime returns the row of the worker lifetime in a report. It ends the runs
+// of all others at the same agent, except those that the worker has started in this
+// one. Start times do not order lifetimes, since the VM's clock may have been set back.
 func (e *Engine) workerLifetime(r *wire.WorkerReport, now time.Time) *Worker {
 	var w *Worker
-	var earlier []*Worker
+	var others []*Worker
 	for _, other := range e.workers {
 		switch {
 		case other.Node != r.Node:
 		case other.Instance == r.Worker.Instance && other.Born == r.Worker.Born:
 			w = other
-		case other.Born > r.Worker.Born:
-			return nil
 		default:
-			earlier = append(earlier, other)
+			others = append(others, other)
 		}
 	}
 	maps.DeleteFunc(e.workers, func(_ string, other *Worker) bool { return other.Node == r.Node })
@@ -98,8 +95,8 @@
 		w = newWorker(r.Node, now.Add(e.cfg.LeaseLimit))
 		w.WorkerInfo = r.Worker
 	}
-	slices.SortFunc(earlier, func(a, b *Worker) int { return cmp.Compare(a.Born, b.Born) })
-	for _, other := range earlier {
+	slices.SortFunc(others, func(a, b *Worker) int { return cmp.Compare(a.Born, b.Born) })
+	for _, other := range others {
 		if other.Instance == w.Instance {
 			e.moveListedRuns(other, w, r)
 		}
@@ -110,7 +107,7 @@
 	return w
 }
 
-// moveListedRuns moves runs to a later lifetime of a worker under the same id, if its
+// moveListedRuns moves runs to another lifetime of a worker under the same id, if its
 // report lists them. Their orders were meant for the earlier lifetime and have reached
 // the later one, which cannot tell.
 func (e *Engine) moveListedRuns(from, to *Worker, r *wire.WorkerReport) {
--- a/core/job/restore_test.go
+++ b/core/job/restore_test.go
@@ -124,6 +124,28 @@
 	}
 }
 
+// TestLifetimeAfterClockStep guards against a worker whose reports are ignored for
+// good, because the clock of its VM was set back before it started again.
+func TestLifetimeAfterClockStep(t *testing.T) {
+	for _, restarted := range []bool{false, true} { // the scheduler
+		t.Run(fmt.Sprintf("restarted %t", restarted), func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			f.workers(1)
+			f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+			f.tick()
+			f.report(node(0), nil, nil)
+			if restarted {
+				f.restart()
+			}
+			f.report(node(0), func(r *wire.WorkerReport) { r.Running, r.Worker.Born = nil, 0 }, nil)
+			f.tick()
+			is.Equal(f.runs("j")[0].number, 2) // the first has ended with its lifetime
+			is.Equal(f.runs("j")[0].worker.Born, int64(0))
+		})
+	}
+}
+
 // TestRunStartedInLaterLifetime guards against work that is done twice after a worker
 // has started again under its id: an order for the earlier lifetime has reached the
 // later one, whose report lists the run.
--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -55,7 +55,7 @@
 	}
 	reason := ""
 	switch {
-	case n.Born < a.info.Born || n.Sequence <= known:
+	case n.Sequence <= known:
 		reason = ignoredOvertake
 	case present:
 		a.applyAnnouncement(n)
@@ -123,7 +123,8 @@
 // Announcements may come from other writers, and a lifetime that is not the
 // worker's must not displace the one that is. The call names the lifetime, and
 // renews and acknowledges nothing. If the answer decides, the lifetime is adopted
-// or dropped.
+// or dropped. A start time that is earlier than the present lifetime's, as after a
+// step of the VM's clock, counts only if an answer shows it.
 func (a *Agent) decideLifetime(ctx context.Context, id lifetimeID) (decided, adopted bool) {
 	a.mu.Lock()
 	o := HoldRequest{Instance: id.instance, Token: a.token()}
@@ -139,10 +140,10 @@
 	switch {
 	case !ok:
 		return true, false
-	case id.born < a.info.Born:
-		a.ignore(c.Announcement, ignoredOvertake)
 	case other:
 		a.ignore(c.Announcement, ignoredLifetime)
+	case id.born < a.info.Born && (err != nil || reply.Born == 0):
+		a.ignore(c.Announcement, ignoredOvertake)
 	case err == nil || left:
 		a.adoptLifetime(c)
 		a.setClock(reply.Clock, time.Now())
--- a/io/worker/announce_test.go
+++ b/io/worker/announce_test.go
@@ -215,3 +215,45 @@
 	is.True(a.Announce(announcement))
 	report(func(r *wire.WorkerReport) bool { return r.Worker.Born == 2 && r.Worker.State == wire.WorkerReady })
 }
+
+// TestLifetimeAfterClockStep guards against a worker whose announcements are ignored for
+// good, because the clock of its VM was set back before it started again.
+func TestLifetimeAfterClockStep(t *testing.T) {
+	tests := map[string]struct {
+		instance string // that the worker has now
+		born     int64  // that its answers show now
+		adopted  bool
+	}{
+		"same id":                         {instance: "i-1", born: 3, adopted: true},
+		"another id":                      {instance: "i-2", born: 3, adopted: true},
+		"delayed, of an earlier lifetime": {instance: "i-1", born: 5},
+		"answers show no start time":      {instance: "i-1"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var instance atomic.Value
+			var born atomic.Int64
+			instance.Store("i-1")
+			born.Store(5)
+			w := worker.Worker{Hold: func(_ context.Context, o worker.HoldRequest) (worker.HoldReply, error) {
+				if o.Instance != instance.Load() {
+					return worker.HoldReply{}, &worker.RefusedError{Reason: worker.ReasonOtherLifetime}
+				}
+				return worker.HoldReply{Born: born.Load()}, nil
+			}}
+			a := worker.Start(worker.Config{
+				Node: "side-1", Store: platform.NewStandin().Store(), Worker: w, Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+			})
+			defer a.Close()
+			info := wire.WorkerInfo{Instance: "i-1", Born: 5, State: wire.WorkerReady}
+			is.True(a.Announce(worker.Announcement{WorkerInfo: info, Sequence: 7}))
+			instance.Store(tt.instance)
+			born.Store(tt.born)
+			info.Instance, info.Born = tt.instance, 3
+			is.Equal(a.Announce(worker.Announcement{WorkerInfo: info, Sequence: 1}), tt.adopted)
+			info.Instance, info.Born = "i-1", 5
+			is.Equal(a.Announce(worker.Announcement{WorkerInfo: info, Sequence: 8}), !tt.adopted)
+		})
+	}
+}
