Adopt a lifetime once that an answer shows while it is being confirmed

Found by reading the diff: if a poll of the worker showed a new lifetime while its announcement waited for the confirming call, the lifetime was adopted twice, and the orders begun in between were dropped until the scheduler sent them again.

Change: the second time only the announcement is applied.

Measured: TestLifetimeShownTwiceIsAdoptedOnce failed before (three lifetimes, want two) and passes, with the tests of io/worker, io/scheduler and the settings.

--- a/io/scheduler/tables.go
+++ b/io/scheduler/tables.go
@@ -105,12 +105,13 @@
 const (
 	maxOrphanDeletes      = 20
 	maxBatchBesideOrphans = 40
+	rowsPerExpiredJob     = 3 // its own, its progress and its cancellation
 )
 
 // expiredOrphans returns the IDs of cancellations whose jobs were never stored, and
 // which no delayed submission can need any more, as far as they fit beside the batch.
 func (h *holder) expiredOrphans(b *job.Batch, now time.Time) []string {
-	if b != nil && len(b.Progress)+3*len(b.Expired) > maxBatchBesideOrphans {
+	if b != nil && len(b.Progress)+rowsPerExpiredJob*len(b.Expired) > maxBatchBesideOrphans {
 		return nil
 	}
 	h.mu.Lock()
--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -30,10 +30,10 @@
 
 // Reasons for which an announcement is ignored, as logged and counted.
 const (
-	ignoredService  = "service_not_configured"
-	ignoredOvertake = "overtaken"
-	ignoredLifetime = "not_this_worker"
-	ignoredTooMany  = "too_many_candidates"
+	ignoredService   = "service_not_configured"
+	ignoredOvertaken = "overtaken"
+	ignoredLifetime  = "not_this_worker"
+	ignoredTooMany   = "too_many_candidates"
 )
 
 // Announce applies an announcement of the worker. It returns false for one that is
@@ -56,13 +56,13 @@
 	reason := ""
 	switch {
 	case n.Sequence <= known:
-		reason = ignoredOvertake
+		reason = ignoredOvertaken
 	case present:
 		a.applyAnnouncement(n)
 	case known == 0 && len(a.candidates) >= maxCandidates:
 		reason = ignoredTooMany
 	default:
-		a.candidates[id] = candidate{n, c.left}
+		a.candidates[id] = candidate{Announcement: n, left: c.left}
 	}
 	a.mu.Unlock()
 	if reason != "" {
@@ -142,8 +142,13 @@
 		return true, false
 	case other:
 		a.ignore(c.Announcement, ignoredLifetime)
+	case id == lifetimeID{a.info.Instance, a.info.Born}: // another answer has shown it meanwhile
+		adopted = c.Sequence > a.announceSequence
+		if adopted {
+			a.applyAnnouncement(c.Announcement)
+		}
 	case id.born < a.info.Born && (err != nil || reply.Born == 0):
-		a.ignore(c.Announcement, ignoredOvertake)
+		a.ignore(c.Announcement, ignoredOvertaken)
 	case err == nil || left:
 		a.adoptLifetime(c)
 		a.setClock(reply.Clock, time.Now())
--- a/io/worker/announce_test.go
+++ b/io/worker/announce_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math"
 	"sync/atomic"
 	"syscall"
@@ -146,6 +147,60 @@
 	}
 }
 
+// TestLifetimeShownTwiceIsAdoptedOnce guards against orders that are dropped because a
+// lifetime is adopted a second time: an answer of the worker has shown it while its
+// announcement was being confirmed.
+func TestLifetimeShownTwiceIsAdoptedOnce(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStandin().Store()
+	s := newScriptedScheduler(t, store)
+	var again atomic.Bool
+	confirming, confirm := make(chan struct{}), make(chan struct{})
+	var lifetimes atomic.Int64
+	w := worker.Worker{Hold: func(_ context.Context, o worker.HoldRequest) (worker.HoldReply, error) {
+		if !again.Load() {
+			time.Sleep(5 * time.Millisecond)
+			return worker.HoldReply{Born: 1}, nil
+		}
+		if o.Wait == 0 && o.LeaseEnd == 0 {
+			select {
+			case confirming <- struct{}{}: // the call that confirms the announcement
+				<-confirm
+			default:
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+		return worker.HoldReply{Born: 2}, nil
+	}}
+	log := zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
+		if message == "worker_lifetime" {
+			lifetimes.Add(1)
+		}
+	}))
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: store, Worker: w, Log: log, Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+	})
+	defer a.Close()
+	info := wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}
+	is.True(a.Announce(worker.Announcement{WorkerInfo: info, Sequence: 1}))
+	is.Equal(lifetimes.Load(), int64(1))
+	again.Store(true)
+	info.Born = 2
+	announced := make(chan bool, 1)
+	go func() { announced <- a.Announce(worker.Announcement{WorkerInfo: info, Sequence: 1}) }()
+	<-confirming
+	conn := <-s.conns
+	is.NoErr(conn.Send(&wire.WorkerOrders{Sequence: 1, Epoch: 1, Token: 1 << 8})) // the agent polls the worker
+	for end := time.Now().Add(testTimeout); lifetimes.Load() < 2; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the answer of the worker has not shown the lifetime")
+		}
+	}
+	close(confirm)
+	is.True(<-announced)
+	is.Equal(lifetimes.Load(), int64(2))
+}
+
 // TestWorkerStartedAgainUnderItsID guards against an agent that takes a worker for an
 // earlier lifetime until the later one has announced itself. It must acknowledge
 // nothing by the earlier one's numbers, give the worker no new work, and report what
