--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Linters are pinned here and run through the module's own means.
 GOLANGCI_LINT = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
-.PHONY: all build test lint fmt generate
+.PHONY: all build test model lint fmt generate
 
 all: build
 
@@ -11,6 +11,14 @@
 test:
 	go test ./...
 
+# Histories that the model of scheduler, agents and workers plays, and the seed of their
+# choice. A failing one is shrunk, and printed with the command that plays it again.
+CHECKS = 100000
+SEED = 0
+
+model:
+	go test ./core/job -run TestDecisionsUnderDelayedMessages -v -timeout 2h -rapid.checks=$(CHECKS) -rapid.steps=200 -rapid.seed=$(SEED)
+
 lint: bin/golangci-lint
 	bin/golangci-lint run
 
