Count done runs as survivors only where runs are short

Cause: that any done run ends the probing of a service is more than the fault needs: runs that are long enough can survive, as before.

Change: a done run counts if its expected time is below that of a survivor.

Measured: TestServiceWithShortRunsRecovers and the tests of core/job pass.

--- a/core/job/service_health.go
+++ b/core/job/service_health.go
@@ -58,10 +58,11 @@
 	}
 }
 
-// recordServiceSuccess records that a run is done. Runs may be shorter than
-// survivalTime.
+// recordServiceSuccess records that a run is done which cannot survive, because it is
+// expected to take less than survivalTime.
 func (e *Engine) recordServiceSuccess(r *run, now time.Time) {
-	if h := e.services[r.worker.Service]; h != nil && h.jobs > 0 && r.placedAt.After(h.since) {
+	h := e.services[r.worker.Service]
+	if h != nil && h.jobs > 0 && r.placedAt.After(h.since) && e.expectedRunTime(r.task.stage) < survivalTime {
 		e.resetService(r.worker.Service, now)
 	}
 }
