--- a/io/caller/job_http.go
+++ b/io/caller/job_http.go
@@ -165,6 +165,9 @@
 }
 
 func (a *JobAPI) cancel(w http.ResponseWriter, r *http.Request, in Admission) error {
+	if !validID(in.JobID) { // no job has such an id, and no row may be written for it
+		return &UnknownQueueError{Path: r.URL.Path}
+	}
 	ctx, cancel := WithResponseTimeout(r.Context(), in.Queue.Objective)
 	defer cancel()
 	ok, err := a.Jobs.Cancel(ctx, in.Queue.Name, in.JobID)
