Decide the evacuation of a zone, permit starts for a limited time

Cause: nothing may be started in an evacuated availability zone later than a limit after the request, whichever process decides, while running work continues.

Ruled out: agents that read the table themselves (each would poll the store); timers of the product's own (the set must be what the table states); a permission that any newer orders extend (orders without a start would keep a pending start alive).

Change: the engine keeps the evacuated set with its age. A worker of an evacuated zone is not eligible, its holds and tickets are released, and its runs that have not started are stopped, a gang as a whole. With a limit, nothing is placed and no start is ordered while the set is older than two fifths of it or has not been read. Orders carry a start permission that counts from the echoed report; the agent begins or retries a start only while it lasts and then stops the run. Orders renew it only for the starts that they list. Workers report how long they remain cold, and cold ones are placed on last.

Without the checks of orders, permission or holds, the new tests fail.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -21,6 +21,10 @@
 	// and of a same-rack gang that is spread over several racks.
 	RackFactor float64
 
+	// EvacuationLimit is the time after the evacuation of a zone from which nothing
+	// may be started there. If it is 0, there is no such limit.
+	EvacuationLimit time.Duration
+
 	// Policy disables rules of placement and ordering. The zero value enables
 	// all of them.
 	Policy Policy
@@ -58,6 +62,7 @@
 	reserved          map[*stage]*reservation // reservations of the current tick
 	reservationCount  int                     // made in the current tick
 	createdAt         time.Time
+	evacuation        evacuation
 }
 
 // New returns an engine without jobs or workers. now is the time from which it
@@ -75,6 +80,7 @@
 		holders:           make(map[*stage]struct{}),
 		reserved:          make(map[*stage]*reservation),
 		createdAt:         now,
+		evacuation:        evacuation{current: cfg.EvacuationLimit <= 0, setAt: now},
 	}
 }
 
--- a/core/job/explain.go
+++ b/core/job/explain.go
@@ -65,6 +65,7 @@
 			a.Jobs++
 		}
 	}
+	a.EvacuationRead, a.EvacuationAge, a.EvacuatedZones = e.evacuationStatus(now)
 	for _, w := range e.sortedWorkers {
 		a.Workers = append(a.Workers, wire.WorkerStatus{
 			Node: w.Node, Instance: w.Instance, Service: w.Service, Zone: w.Zone, Rack: w.Rack, State: w.State,
--- a/core/job/fit.go
+++ b/core/job/fit.go
@@ -73,7 +73,7 @@
 func (e *Engine) mostlyIdle(service string) bool {
 	var used, all wire.Resources
 	for _, w := range e.sortedWorkers {
-		if w.reported && w.Service == service {
+		if w.reported && w.Service == service && !e.evacuated(w) {
 			used, all = add(used, w.used), add(all, w.Capacity)
 		}
 	}
@@ -110,6 +110,11 @@
 // fitGangInRack chooses workers of one rack for n tasks. It prefers the rack with the
 // fewest free accelerators, so that large free racks stay available.
 func (e *Engine) fitGangInRack(c []candidate, n int) []*Worker {
+	if warm := e.warmerCandidates(c); warm != nil {
+		if chosen := e.fitGangInRack(warm, n); chosen != nil {
+			return chosen
+		}
+	}
 	racks := make(map[string][]candidate)
 	for _, x := range c {
 		racks[x.w.Rack] = append(racks[x.w.Rack], x)
@@ -138,6 +143,11 @@
 // of racks instead: the first worker that fits all remaining tasks, or else the
 // last worker.
 func (e *Engine) packTasks(c []candidate, n int) []*Worker {
+	if warm := e.warmerCandidates(c); warm != nil {
+		if chosen := e.packTasks(warm, n); chosen != nil {
+			return chosen
+		}
+	}
 	c = slices.Clone(c)
 	if !e.cfg.Policy.FirstFit {
 		slices.SortStableFunc(c, func(a, b candidate) int {
@@ -178,7 +188,7 @@
 	}
 	if !e.cfg.Policy.FirstFit {
 		slices.SortStableFunc(c, func(a, b candidate) int {
-			return cmp.Or(-cmp.Compare(btoi(a.proven), btoi(b.proven)), -cmp.Compare(btoi(a.nearData), btoi(b.nearData)), cmp.Compare(freeAccelerators(a.w), freeAccelerators(b.w)))
+			return cmp.Or(-cmp.Compare(btoi(a.proven), btoi(b.proven)), -cmp.Compare(btoi(a.nearData), btoi(b.nearData)), cmp.Compare(btoi(a.w.cold()), btoi(b.w.cold())), cmp.Compare(freeAccelerators(a.w), freeAccelerators(b.w)))
 		})
 	}
 	var placed []*task
--- a/core/job/orders.go
+++ b/core/job/orders.go
@@ -38,7 +38,7 @@
 		switch {
 		case r.phase == stopping && r.durable():
 			o.Stops = append(o.Stops, wire.TaskRun{Task: id, Run: r.number})
-		case r.phase == ordered && r.durable() && w.State == wire.WorkerReady:
+		case r.phase == ordered && r.durable() && e.maySendStarts(w):
 			r.startOrdered = true
 			o.Starts = append(o.Starts, wire.StartTask{Task: id, Run: r.number, Spec: r.task.stage.job.Spec, Checkpoint: r.task.checkpoint, Ticket: r.task.stage.ticket(w)})
 		}
--- a/core/job/service_health.go
+++ b/core/job/service_health.go
@@ -99,7 +99,7 @@
 	clear(e.unhealthyServices)
 	e.checkSurvivors(now)
 	for _, w := range e.sortedWorkers {
-		if w.reported && w.State == wire.WorkerReady && now.Sub(w.lastReport) <= maxReportAge {
+		if w.reported && w.State == wire.WorkerReady && now.Sub(w.lastReport) <= maxReportAge && !e.evacuated(w) {
 			unhealthy, seen := e.unhealthyServices[w.Service]
 			e.unhealthyServices[w.Service] = (unhealthy || !seen) && (!w.health.usable(now) || w.health.triesOne())
 		}
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -18,6 +18,10 @@
 	e.expireWorkers(now)
 	e.openDueOccurrences(now)
 	e.findUnhealthyServices(now)
+	e.evacuateWorkers(now)
+	if !e.evacuation.current {
+		return
+	}
 	queue := e.waitingStages(now)
 	clear(e.reserved)
 	e.reservationCount = 0
@@ -188,7 +192,7 @@
 // eligibleIgnoringAdvice is like eligible but does not require a ticket.
 func (e *Engine) eligibleIgnoringAdvice(w *Worker, s *stage, now time.Time) bool {
 	return w.reported && w.State == wire.WorkerReady && now.Sub(w.lastReport) <= maxReportAge &&
-		w.Service == s.job.Service && e.admitsRuns(w, now) &&
+		w.Service == s.job.Service && !e.evacuated(w) && e.admitsRuns(w, now) &&
 		(s.step.RequiredLabel == "" || slices.Contains(w.Labels, s.step.RequiredLabel))
 }
 
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -41,6 +41,10 @@
 	// Guarantees returns the number of accelerators guaranteed to each
 	// customer.
 	Guarantees func() map[string]int
+
+	// Evacuation returns the evacuated zones as this process knows them. If it
+	// is nil, there are none.
+	Evacuation func() job.Evacuation
 }
 
 // Candidate is an entry that takes the scheduler's lease when it is free.
@@ -69,6 +73,9 @@
 	if cfg.BootTime == nil {
 		cfg.BootTime = platform.BootTime
 	}
+	if cfg.Evacuation == nil {
+		cfg.Evacuation = func() job.Evacuation { return job.Evacuation{Read: true} }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Candidate{
 		cfg: cfg, key: newKey(), stop: cancel,
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -179,6 +179,7 @@
 		return nil, nil, h.failure
 	}
 	h.engine.SetGuarantees(h.cfg.Guarantees())
+	h.engine.SetEvacuated(h.cfg.Evacuation(), now)
 	submitted = h.dequeueSubmissions(now)
 	h.engine.Expire(now)
 	h.engine.Tick(now)
--- a/io/scheduler/serve.go
+++ b/io/scheduler/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bramleythread/core/job"
 	"bramleythread/io/frame"
 	"bramleythread/io/wire"
 )
@@ -176,16 +177,29 @@
 	defer h.recoverPanic()
 	var o wire.WorkerOrders
 	if a.reported {
+		h.engine.SetEvacuated(h.cfg.Evacuation(), time.Now())
 		var ok bool
 		if o, ok = h.engine.Orders(node); !ok {
 			return o, false
 		}
+		h.permitStarts(&o, a)
 	}
 	a.sequence++
 	o.Sequence, o.Epoch, o.Token, o.LastReportSent = a.sequence, h.writer.lease.Epoch, a.token, a.grantedAt
 	return o, true
 }
 
+// permitStarts adds to orders the permission within which their starts may be carried
+// out. The permission counts from the agent's last report that this process has
+// granted. Without one the agent could start nothing, so the starts are left out until
+// the next orders.
+func (h *holder) permitStarts(o *wire.WorkerOrders, a *agentLink) {
+	o.StartPermission = job.StartPermission(h.cfg.Engine.EvacuationLimit)
+	if o.StartPermission > 0 && a.grantedAt == 0 {
+		o.Starts = nil
+	}
+}
+
 // closeConns closes all connections, so that agents and entries look for
 // another scheduler.
 func (h *holder) closeConns() {
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -186,6 +186,10 @@
 	Capacity  Resources     `msg:"capacity"`
 	State     WorkerState   `msg:"state"`
 	Remaining time.Duration `msg:"remaining"` // minimum time until a draining worker leaves
+
+	// ColdRemaining is the time for which the worker still runs tasks more slowly,
+	// because it has returned to service recently.
+	ColdRemaining time.Duration `msg:"cold_remaining,omitempty"`
 }
 
 // RunningTask is a run that is present on a worker. Percent is its progress. Load
@@ -260,6 +264,10 @@
 	Starts         []StartTask   `msg:"starts"`
 	Stops          []TaskRun     `msg:"stops"`
 	Shared         []SharedTask  `msg:"shared,omitempty"`
+
+	// StartPermission is how long after LastReportSent a start in Starts may begin
+	// or be retried; 0 means without limit.
+	StartPermission time.Duration `msg:"start_permission,omitempty"`
 }
 
 // JobQuery asks the scheduler for the state of a job.
@@ -367,6 +375,16 @@
 	Jobs      int            `msg:"jobs"`      // jobs that have not ended
 	Waiting   int            `msg:"waiting"`   // stages with waiting tasks
 	Workers   []WorkerStatus `msg:"workers"`
+
+	EvacuationRead bool          `msg:"evacuation_read"` // the evacuated zones have been read
+	EvacuationAge  time.Duration `msg:"evacuation_age"`  // since they were known to be current
+	EvacuatedZones []ZoneStatus  `msg:"evacuated_zones"`
+}
+
+// ZoneStatus is an evacuated availability zone.
+type ZoneStatus struct {
+	Zone     string        `msg:"zone"`
+	KnownFor time.Duration `msg:"known_for"` // since the scheduler's process learned of it
 }
 
 // WorkerStatus is the scheduler's view of one worker.
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -2283,9 +2283,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StatusAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 10
 	// string "scheduler"
-	o = append(o, 0x87, 0xa9, 0x73, 0x63, 0x68, 0x65, 0x64, 0x75, 0x6c, 0x65, 0x72)
+	o = append(o, 0x8a, 0xa9, 0x73, 0x63, 0x68, 0x65, 0x64, 0x75, 0x6c, 0x65, 0x72)
 	o = msgp.AppendString(o, z.Scheduler)
 	// string "epoch"
 	o = append(o, 0xa5, 0x65, 0x70, 0x6f, 0x63, 0x68)
@@ -2312,6 +2312,24 @@
 			return
 		}
 	}
+	// string "evacuation_read"
+	o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x72, 0x65, 0x61, 0x64)
+	o = msgp.AppendBool(o, z.EvacuationRead)
+	// string "evacuation_age"
+	o = append(o, 0xae, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x5f, 0x61, 0x67, 0x65)
+	o = msgp.AppendDuration(o, z.EvacuationAge)
+	// string "evacuated_zones"
+	o = append(o, 0xaf, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x65, 0x64, 0x5f, 0x7a, 0x6f, 0x6e, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.EvacuatedZones)))
+	for za0002 := range z.EvacuatedZones {
+		// map header, size 2
+		// string "zone"
+		o = append(o, 0x82, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, z.EvacuatedZones[za0002].Zone)
+		// string "known_for"
+		o = append(o, 0xa9, 0x6b, 0x6e, 0x6f, 0x77, 0x6e, 0x5f, 0x66, 0x6f, 0x72)
+		o = msgp.AppendDuration(o, z.EvacuatedZones[za0002].KnownFor)
+	}
 	return
 }
 
@@ -2396,6 +2414,74 @@
 					return
 				}
 			}
+		case "evacuation_read":
+			z.EvacuationRead, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuationRead")
+				return
+			}
+		case "evacuation_age":
+			z.EvacuationAge, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuationAge")
+				return
+			}
+		case "evacuated_zones":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuatedZones")
+				return
+			}
+			if zb0003 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.EvacuatedZones) >= int(zb0003) {
+				z.EvacuatedZones = (z.EvacuatedZones)[:zb0003]
+			} else {
+				z.EvacuatedZones = make([]ZoneStatus, zb0003)
+			}
+			for za0002 := range z.EvacuatedZones {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "EvacuatedZones", za0002)
+					return
+				}
+				if zb0004 > zbb7e218elimitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "EvacuatedZones", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "zone":
+						z.EvacuatedZones[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "EvacuatedZones", za0002, "Zone")
+							return
+						}
+					case "known_for":
+						z.EvacuatedZones[za0002].KnownFor, bts, err = msgp.ReadDurationBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "EvacuatedZones", za0002, "KnownFor")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "EvacuatedZones", za0002)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2414,6 +2500,10 @@
 	for za0001 := range z.Workers {
 		s += z.Workers[za0001].Msgsize()
 	}
+	s += 16 + msgp.BoolSize + 15 + msgp.DurationSize + 16 + msgp.ArrayHeaderSize
+	for za0002 := range z.EvacuatedZones {
+		s += 1 + 5 + msgp.StringPrefixSize + len(z.EvacuatedZones[za0002].Zone) + 10 + msgp.DurationSize
+	}
 	return
 }
 
@@ -2777,41 +2867,59 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerInfo) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "instance"
-	o = append(o, 0x89, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Instance)
-	// string "born"
-	o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
-	o = msgp.AppendInt64(o, z.Born)
-	// string "service"
-	o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
-	o = msgp.AppendString(o, z.Service)
-	// string "zone"
-	o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
-	o = msgp.AppendString(o, z.Zone)
-	// string "rack"
-	o = append(o, 0xa4, 0x72, 0x61, 0x63, 0x6b)
-	o = msgp.AppendString(o, z.Rack)
-	// string "labels"
-	o = append(o, 0xa6, 0x6c, 0x61, 0x62, 0x65, 0x6c, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Labels)))
-	for za0001 := range z.Labels {
-		o = msgp.AppendString(o, z.Labels[za0001])
+	// check for omitted fields
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
+	_ = zb0001Mask
+	if z.ColdRemaining == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "instance"
+		o = append(o, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Instance)
+		// string "born"
+		o = append(o, 0xa4, 0x62, 0x6f, 0x72, 0x6e)
+		o = msgp.AppendInt64(o, z.Born)
+		// string "service"
+		o = append(o, 0xa7, 0x73, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Service)
+		// string "zone"
+		o = append(o, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+		o = msgp.AppendString(o, z.Zone)
+		// string "rack"
+		o = append(o, 0xa4, 0x72, 0x61, 0x63, 0x6b)
+		o = msgp.AppendString(o, z.Rack)
+		// string "labels"
+		o = append(o, 0xa6, 0x6c, 0x61, 0x62, 0x65, 0x6c, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Labels)))
+		for za0001 := range z.Labels {
+			o = msgp.AppendString(o, z.Labels[za0001])
+		}
+		// string "capacity"
+		o = append(o, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendInt(o, z.Capacity.CPU)
+		o = msgp.AppendInt(o, z.Capacity.Memory)
+		o = msgp.AppendInt(o, z.Capacity.Accelerators)
+		// string "state"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		o = msgp.AppendString(o, string(z.State))
+		// string "remaining"
+		o = append(o, 0xa9, 0x72, 0x65, 0x6d, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
+		o = msgp.AppendDuration(o, z.Remaining)
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "cold_remaining"
+			o = append(o, 0xae, 0x63, 0x6f, 0x6c, 0x64, 0x5f, 0x72, 0x65, 0x6d, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
+			o = msgp.AppendDuration(o, z.ColdRemaining)
+		}
 	}
-	// string "capacity"
-	o = append(o, 0xa8, 0x63, 0x61, 0x70, 0x61, 0x63, 0x69, 0x74, 0x79)
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendInt(o, z.Capacity.CPU)
-	o = msgp.AppendInt(o, z.Capacity.Memory)
-	o = msgp.AppendInt(o, z.Capacity.Accelerators)
-	// string "state"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	o = msgp.AppendString(o, string(z.State))
-	// string "remaining"
-	o = append(o, 0xa9, 0x72, 0x65, 0x6d, 0x61, 0x69, 0x6e, 0x69, 0x6e, 0x67)
-	o = msgp.AppendDuration(o, z.Remaining)
 	return
 }
 
@@ -2932,6 +3040,12 @@
 				err = msgp.WrapError(err, "Remaining")
 				return
 			}
+		case "cold_remaining":
+			z.ColdRemaining, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ColdRemaining")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2950,7 +3064,7 @@
 	for za0001 := range z.Labels {
 		s += msgp.StringPrefixSize + len(z.Labels[za0001])
 	}
-	s += 9 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 10 + msgp.DurationSize
+	s += 9 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 6 + msgp.StringPrefixSize + len(string(z.State)) + 10 + msgp.DurationSize + 15 + msgp.DurationSize
 	return
 }
 
@@ -2958,13 +3072,17 @@
 func (z *WorkerOrders) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Shared == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.StartPermission == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -3026,6 +3144,11 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "start_permission"
+			o = append(o, 0xb0, 0x73, 0x74, 0x61, 0x72, 0x74, 0x5f, 0x70, 0x65, 0x72, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendDuration(o, z.StartPermission)
+		}
 	}
 	return
 }
@@ -3178,6 +3301,12 @@
 					return
 				}
 			}
+		case "start_permission":
+			z.StartPermission, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StartPermission")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3204,6 +3333,7 @@
 	for za0003 := range z.Shared {
 		s += z.Shared[za0003].Msgsize()
 	}
+	s += 17 + msgp.DurationSize
 	return
 }
 
@@ -3765,3 +3895,68 @@
 	s = 1 + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.StringPrefixSize + len(z.Instance) + 8 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.StringPrefixSize + len(z.Zone) + 5 + msgp.StringPrefixSize + len(z.Rack) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.DurationSize + 9 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 5 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.DurationSize
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z ZoneStatus) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "zone"
+	o = append(o, 0x82, 0xa4, 0x7a, 0x6f, 0x6e, 0x65)
+	o = msgp.AppendString(o, z.Zone)
+	// string "known_for"
+	o = append(o, 0xa9, 0x6b, 0x6e, 0x6f, 0x77, 0x6e, 0x5f, 0x66, 0x6f, 0x72)
+	o = msgp.AppendDuration(o, z.KnownFor)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ZoneStatus) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zbb7e218elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "zone":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		case "known_for":
+			z.KnownFor, bts, err = msgp.ReadDurationBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "KnownFor")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ZoneStatus) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Zone) + 10 + msgp.DurationSize
+	return
+}
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -69,9 +69,10 @@
 	clockAt          time.Time                // when it was received
 	lifetime         uint64                   // number of lifetimes of the worker since this agent started
 	orders           wire.WorkerOrders
-	sequence         uint64    // of the latest report
-	polled           bool      // the worker has been polled in this connection and lifetime
-	polledAt         time.Time // send time of the latest poll that was applied
+	permission       startPermission // of the starts in orders
+	sequence         uint64          // of the latest report
+	polled           bool            // the worker has been polled in this connection and lifetime
+	polledAt         time.Time       // send time of the latest poll that was applied
 	running          map[wire.TaskRun]wire.RunningTask
 	unlistedStarts   map[wire.TaskRun]time.Time // start times of runs that no poll has listed yet
 	ended            []wire.EndedRun
@@ -86,6 +87,7 @@
 	stop        bool      // the run must be stopped
 	reason      string    // reported as the refusal reason if the run never starts
 	stopAckedAt time.Time // when it was acknowledged
+	permission  startPermission
 }
 
 // Start starts an agent, which runs until Close is called.
@@ -213,6 +215,7 @@
 		a.resetConn(c)
 	}
 	first := !a.ordered
+	a.permission = permissionOf(o)
 	o.LastReportSent = max(o.LastReportSent, a.orders.LastReportSent)
 	acked := o.AckedEnds > a.orders.AckedEnds
 	a.orders, a.ordered = *o, true
@@ -251,14 +254,18 @@
 }
 
 func (a *Agent) applyStart(r wire.TaskRun, s wire.StartTask) {
-	if _, present := a.running[r]; present || a.pending[r] != nil || a.refused[r] != "" || a.hasEnded(r) {
+	if p := a.pending[r]; p != nil {
+		p.permission = a.permission // these orders permit it anew
+		return
+	}
+	if _, present := a.running[r]; present || a.refused[r] != "" || a.hasEnded(r) {
 		return
 	}
 	if a.info.State != wire.WorkerReady {
 		a.beginOrder(r, &pending{stop: true, reason: "worker_" + string(a.info.State)}, s)
 		return
 	}
-	a.beginOrder(r, &pending{}, s)
+	a.beginOrder(r, &pending{permission: a.permission}, s)
 }
 
 func (a *Agent) applyStop(r wire.TaskRun) {
--- a/io/worker/order.go
+++ b/io/worker/order.go
@@ -16,7 +16,7 @@
 	for a.ctx.Err() == nil {
 		a.mu.Lock()
 		gone := a.lifetime != lifetime || a.pending[r] != p || a.info.State == wire.WorkerGone
-		stop := p.stop
+		stop, permission := p.stop, p.permission
 		o := StartRequest{StartTask: s, Instance: a.info.Instance, Token: a.token(), LeaseEnd: a.leaseEnd(time.Now())}
 		a.mu.Unlock()
 		var err error
@@ -24,13 +24,15 @@
 		case gone:
 			return
 		case stop:
-			err = a.call(func(ctx context.Context) error {
+			err = a.call(callTimeout, func(ctx context.Context) error {
 				return a.cfg.Worker.Stop(ctx, StopRequest{TaskRun: r, Instance: o.Instance, Token: o.Token})
 			})
 		case o.LeaseEnd == 0:
 			err = &RefusedError{Reason: "no_grant"}
+		case permission.expired(a.cfg.BootTime()):
+			err = &RefusedError{Reason: reasonPermissionExpired}
 		default:
-			err = a.call(func(ctx context.Context) error { return a.cfg.Worker.Start(ctx, o) })
+			err = a.call(permission.callTimeout(), func(ctx context.Context) error { return a.cfg.Worker.Start(ctx, o) })
 		}
 		if a.handleOutcome(r, p, stop, err) {
 			return
@@ -39,8 +41,8 @@
 	}
 }
 
-func (a *Agent) call(f func(ctx context.Context) error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+func (a *Agent) call(timeout time.Duration, f func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return f(ctx)
 }
--- a/io/worker/pace.go
+++ b/io/worker/pace.go
@@ -101,7 +101,7 @@
 
 func (a *Agent) callPace(o PaceRequest) {
 	defer a.wg.Done()
-	err := a.call(func(ctx context.Context) error { return a.cfg.Worker.Pace(ctx, o) })
+	err := a.call(callTimeout, func(ctx context.Context) error { return a.cfg.Worker.Pace(ctx, o) })
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p, known := a.pacer.applied[o.TaskRun]
--- /dev/null
+++ b/io/worker/permission_test.go
@@ -0,0 +1,123 @@
+package worker_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramleythread/io/platform"
+	"bramleythread/io/wire"
+	"bramleythread/io/worker"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+)
+
+// TestStartPermission orders a start to an agent on a simulated boot clock. It guards
+// against a start in a zone that may have been evacuated since the orders were sent,
+// and against an expiry for an agent whose orders still list the start.
+func TestStartPermission(t *testing.T) {
+	const bootTime, permission = time.Hour, 2 * time.Second // shorter than the renewal of leases is granted
+	tests := map[string]struct {
+		permission time.Duration
+		late       bool // the orders arrive when the permission has expired
+		renewed    bool // orders that echo a newer report arrive before that
+		listed     bool // these orders list the start
+		expires    bool
+	}{
+		"orders arrive late":                 {permission: permission, late: true, expires: true},
+		"worker does not answer in time":     {permission: permission, expires: true},
+		"newer orders without the start":     {permission: permission, renewed: true, expires: true},
+		"newer orders with the start":        {permission: permission, renewed: true, listed: true},
+		"no limit":                           {late: true},
+		"no limit, worker does not answer":   {},
+		"no limit, orders without the start": {renewed: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := platform.NewStandin().Store()
+			s := newScriptedScheduler(t, store)
+			var skipped, acked atomic.Int64
+			var answers, stopped atomic.Bool
+			attempts, started := make(chan struct{}, 10000), make(chan struct{}, 10000)
+			w := worker.Worker{
+				Hold: func(_ context.Context, o worker.HoldRequest) (worker.HoldReply, error) {
+					time.Sleep(5 * time.Millisecond)
+					acked.Store(int64(o.Acked))
+					return worker.HoldReply{Clock: time.Second}, nil
+				},
+				Start: func(context.Context, worker.StartRequest) error {
+					attempts <- struct{}{}
+					if !answers.Load() {
+						return context.DeadlineExceeded
+					}
+					started <- struct{}{}
+					return nil
+				},
+				Stop: func(context.Context, worker.StopRequest) error {
+					stopped.Store(true)
+					return nil
+				},
+			}
+			a := worker.Start(worker.Config{
+				Node: "side-1", Store: store, Worker: w, Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+				BootTime: func() time.Duration { return bootTime + time.Duration(skipped.Load()) },
+			})
+			defer a.Close()
+			a.Announce(worker.Announcement{WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}, Sequence: 1})
+			conn := <-s.conns
+			run := wire.TaskRun{Task: wire.TaskID{Job: "j"}, Run: 1}
+			orders := wire.WorkerOrders{
+				Sequence: 1, Epoch: 1, Token: 1 << 8, Instance: "i-1", Born: 1, LastReportSent: bootTime, StartPermission: tt.permission,
+				Starts: []wire.StartTask{{Task: run.Task, Run: run.Run}},
+			}
+			if tt.late {
+				skipped.Store(int64(permission + time.Second))
+			}
+			is.NoErr(conn.Send(&orders))
+			if !tt.late {
+				<-attempts
+			}
+			if tt.renewed {
+				orders.Sequence, orders.LastReportSent, orders.AckedEnds = 2, bootTime+permission, 1
+				if !tt.listed {
+					orders.Starts = nil
+				}
+				is.NoErr(conn.Send(&orders))
+				eventually(t, func() bool { return acked.Load() == 1 }) // the orders are applied
+			}
+			skipped.Store(int64(permission + time.Second))
+			if !tt.expires {
+				answers.Store(true)
+				select {
+				case <-started:
+				case <-time.After(testTimeout):
+					t.Fatal("the run is not started")
+				}
+				return
+			}
+			eventually(t, func() bool {
+				r := s.last.Load()
+				return tt.renewed && stopped.Load() || r != nil && len(r.Refused) == 1 && r.Refused[0].Reason == "start_permission_expired"
+			})
+			is.True(stopped.Load()) // an earlier attempt may take effect later
+			is.Equal(len(started), 0)
+			if tt.late {
+				is.Equal(len(attempts), 0)
+			}
+		})
+	}
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the condition never holds")
+		}
+	}
+}
