Follow the evacuated zones in the catalog

Cause: every process that may become the scheduler must know which zones are evacuated, and how old that knowledge is.

Ruled out: a second long poll (the catalog follows the same table already); decoding the rows' values (the key carries all information, and a row that cannot be read evacuates).

Change: the catalog decodes the rows by their keys, which platform/ translates. A read of all rows replaces the set, so that a deletion in a lost part of the history is noticed. With the limit of the settings (EvacuateMs), polls are short enough for the set to stay within its greatest age, and shorter while the store is slow. A late answer to a request that did not wait no longer counts as confirmed at a later time than its request; while the store was failing, it did.

--- a/io/caller/admission.go
+++ b/io/caller/admission.go
@@ -33,14 +33,20 @@
 	return revocationLimit - min(revocationMargin, revocationLimit/2)
 }
 
-// PollWait returns the duration of a long poll for the configuration, such that it
-// is recent enough in between for requests to be admitted. A limit of 0 means that
-// a configuration of any age admits them.
-func PollWait(revocationLimit time.Duration) time.Duration {
-	if revocationLimit <= 0 {
-		return maxPollWait
+// PollWait returns the duration of a long poll for the configuration and the
+// evacuated zones, such that they are recent enough in between for requests to be
+// admitted and for tasks to be placed. A limit of 0 does not apply.
+func PollWait(revocationLimit, evacuationLimit time.Duration) time.Duration {
+	wait := maxPollWait
+	if revocationLimit > 0 {
+		wait = min(wait, maxConfigAge(revocationLimit)*3/7) // the age reaches twice the wait and a response
 	}
-	return min(maxPollWait, maxConfigAge(revocationLimit)*3/7) // the age reaches twice the wait and a response
+	if evacuationLimit > 0 {
+		// No task is placed meanwhile if the age exceeds its limit, so this leaves
+		// a fifth of it for each of two responses of a slow store.
+		wait = min(wait, job.MaxEvacuationAge(evacuationLimit)*3/10)
+	}
+	return wait
 }
 
 // maxReadyConfigAge is the configuration age up to which an entry reports ready:
--- a/io/caller/admission_test.go
+++ b/io/caller/admission_test.go
@@ -37,7 +37,7 @@
 				_, err := a.Admit("", "/q/job", "token")
 				return err
 			}
-			is.NoErr(admit(PollWait(limit)))
+			is.NoErr(admit(PollWait(limit, 0)))
 			var stale *StaleConfigError
 			if limit > 0 {
 				is.True(errors.As(admit(limit), &stale))
--- a/io/caller/catalog.go
+++ b/io/caller/catalog.go
@@ -32,6 +32,19 @@
 	PollWait time.Duration
 
 	Decode func(row []byte) (*job.Catalog, error)
+
+	// EvacuatedZone returns the availability zone that the row with a key
+	// evacuates, and false for the key of any other row. If it is nil, no row
+	// evacuates a zone.
+	EvacuatedZone func(key string) (zone string, ok bool)
+
+	// EvacuationLimit is the limit of an evacuation, or 0. With a limit, a poll is
+	// shorter by the time that the previous response took, so that a slow store
+	// does not make the evacuated zones too old for tasks to be placed.
+	EvacuationLimit time.Duration
+
+	// Initial is in force until a configuration is read.
+	Initial *job.Catalog
 }
 
 // Catalog holds the highest configuration version seen so far, and the time at
@@ -42,6 +55,7 @@
 	done chan struct{}
 
 	mu        sync.Mutex
+	evacuated evacuatedZones
 	current   *job.Catalog
 	confirmed time.Duration // boot time as of which the store held nothing newer
 	static    bool          // set by StaticCatalog
@@ -51,7 +65,7 @@
 func WatchCatalog(cfg CatalogConfig) *Catalog {
 	cfg.PollWait = cmp.Or(cfg.PollWait, maxPollWait)
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Catalog{cfg: cfg, stop: cancel, done: make(chan struct{})}
+	c := &Catalog{cfg: cfg, current: cfg.Initial, stop: cancel, done: make(chan struct{})}
 	go c.run(ctx)
 	return c
 }
@@ -93,20 +107,23 @@
 func (c *Catalog) run(ctx context.Context) {
 	defer close(c.done)
 	var after uint64
+	var responseTime time.Duration // of the latest answer, without the wait
 	for ctx.Err() == nil {
 		sentAt := platform.BootTime()
-		wait := c.cfg.PollWait
-		if _, failing := c.cfg.Health.OutageDuration(); failing {
-			wait = 0 // poll at once to detect the store's recovery
-		}
+		wait := c.pollWait(responseTime)
 		callCtx, cancel := context.WithTimeout(ctx, wait+catalogResponseMargin)
 		changes, err := c.cfg.Store.Watch(callCtx, c.cfg.Table, after, wait)
 		cancel()
+		took := platform.BootTime() - sentAt
+		responseTime = max(took-wait, 0)
 		var lost *platform.HistoryLostError
 		switch {
 		case err == nil:
+			if after == 0 {
+				wait = 0 // the store answers a read of all rows at once
+			}
+			c.applyChanges(changes, after == 0, confirmedAt(changes, wait, sentAt, sentAt+took))
 			after = max(changes.Revision, 1)
-			c.applyChanges(changes, c.confirmedAt(changes, sentAt, platform.BootTime()))
 		case errors.As(err, &lost):
 			after = 0
 		case ctx.Err() == nil:
@@ -120,19 +137,33 @@
 	}
 }
 
+// pollWait returns the duration of the next long poll. responseTime is what the
+// latest answer took in addition to the wait.
+func (c *Catalog) pollWait(responseTime time.Duration) time.Duration {
+	if _, failing := c.cfg.Health.OutageDuration(); failing {
+		return 0 // poll at once to detect the store's recovery
+	}
+	if c.cfg.EvacuationLimit > 0 {
+		return max(c.cfg.PollWait-responseTime, 0)
+	}
+	return c.cfg.PollWait
+}
+
 // confirmedAt returns a boot time as of which the store held nothing newer than
 // the changes. This is the time of the request, unless the response is empty
-// after a full long poll: the store then made it at the end of the poll.
-func (c *Catalog) confirmedAt(changes platform.Changes, sentAt, answeredAt time.Duration) time.Duration {
-	if len(changes.Rows) == 0 && answeredAt-sentAt >= c.cfg.PollWait {
-		return sentAt + c.cfg.PollWait*9/10 // allows for a store clock that runs fast
+// after a full long poll: the store then made it at the end of the poll. A late
+// response to a request that did not wait says nothing about the time after it.
+func confirmedAt(changes platform.Changes, wait, sentAt, answeredAt time.Duration) time.Duration {
+	if len(changes.Rows) == 0 && answeredAt-sentAt >= wait {
+		return sentAt + wait*9/10 // allows for a store clock that runs fast
 	}
 	return sentAt
 }
 
-// applyChanges installs changed configurations. confirmed is the boot time as of
-// which the store held nothing newer.
-func (c *Catalog) applyChanges(changes platform.Changes, confirmed time.Duration) {
+// applyChanges installs changed configurations and evacuated zones. whole means
+// that the changes are all rows of the table. confirmed is the boot time as of which
+// the store held nothing newer.
+func (c *Catalog) applyChanges(changes platform.Changes, whole bool, confirmed time.Duration) {
 	for _, row := range changes.Rows {
 		if row.Key != c.cfg.Key || row.Deleted {
 			continue
@@ -146,6 +177,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.applyEvacuations(changes.Rows, whole, confirmed)
 	if c.current != nil {
 		c.confirmed = max(c.confirmed, confirmed)
 	}
--- a/io/caller/job_metrics.go
+++ b/io/caller/job_metrics.go
@@ -14,7 +14,7 @@
 }
 
 // NewJobMetrics returns the metrics for durable jobs and registers them with r,
-// together with the age of the catalog.
+// together with the age of the catalog and of the evacuated zones.
 func NewJobMetrics(r prometheus.Registerer, c *Catalog) *JobMetrics {
 	m := &JobMetrics{
 		submissions: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -35,6 +35,7 @@
 		return age.Seconds()
 	})
 	r.MustRegister(m.submissions, m.refusals, age)
+	registerEvacuationMetrics(r, c)
 	return m
 }
 
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -155,7 +155,8 @@
 	revocationLimit := caller.RevocationLimit(s.RevocationLimit, s.RevocationStrict)
 	p.catalog = caller.WatchCatalog(caller.CatalogConfig{
 		Store: store, Health: health, Log: log, Table: adapter.ConfigurationTable, Key: adapter.ConfigurationKey,
-		PollWait: caller.PollWait(revocationLimit), Decode: adapter.DecodeConfiguration,
+		PollWait: caller.PollWait(revocationLimit, s.EvacuationLimit), Decode: adapter.DecodeConfiguration,
+		EvacuatedZone: adapter.EvacuatedZone, EvacuationLimit: s.EvacuationLimit,
 	})
 	p.admission = caller.NewAdmissionController(p.catalog, health, revocationLimit)
 	var advise func(ctx context.Context, q job.AdviceRequest) (map[string]string, error)
@@ -165,11 +166,11 @@
 	p.candidate = scheduler.Start(scheduler.Config{
 		Advise: advise,
 		Node:   s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
-		Guarantees: p.catalog.Guarantees, CancelLimit: s.CancelLimit,
+		Guarantees: p.catalog.Guarantees, Evacuation: p.catalog.Evacuation, CancelLimit: s.CancelLimit,
 		Engine: job.Config{
 			LeaseLimit: scheduler.WorkerLeaseExpiry,
 			Retention:  max(s.Retention, minRetention) + extraRetention,
-			RackFactor: s.RackFactor,
+			RackFactor: s.RackFactor, EvacuationLimit: s.EvacuationLimit,
 			OnDecision: logDecision(log, metrics),
 		},
 	}, l)
