Forecast run times by step and worker

expectedRunTime, expectedOccupancy and expectedRemaining used one mean per queue, regardless of the caller's estimate once a run was measured, of other tasks of the step, and of the worker.

They now use core/estimate. Engine.speeds observes runs from their progress (updateRun) and their end (endRun). Excluded are runs on workers that are not proven, far from their data, background and long-running work, and runs that failed or stalled. A run counts from the first percentage that was seen, so resumed runs and those of an earlier scheduler count only what they have done since. A gang is observed by its member that started last. A new lifetime of a worker inherits the factor with an increased variance. The policy no_speeds keeps the mean per queue.

To query it: e.speeds.Forecast(s.estimatedWork()) for a worker of median speed, e.speeds.Forecast(s.estimatedWork(), w.speedKey()) for one worker, with several keys for a gang (speedIDs(runs) gives those of runs); e.speeds.Slowness(w.speedKey()); e.forecastRun(r) for a placed run. e.speeds.Version() tells whether a kept forecast is still valid.

Ruled out: to forecast the mean of the log-normal distribution instead of its median; it depends on the variance, which is large before the first runs.

--- a/core/estimate/estimator.go
+++ b/core/estimate/estimator.go
@@ -53,6 +53,7 @@
 	kinds     map[kind]*tally
 	estimates map[string]*tally // by queue; logarithmic errors of callers' estimates
 	observed  uint64            // number of observations
+	version   uint64            // changes with all that forecasts depend on
 	uses      uint64            // number of uses of entries, by which the oldest are found
 	median    float64           // of the workers' s, for reports and for forecasts without a worker
 	prior     float64           // variance of the workers' s
@@ -71,6 +72,10 @@
 	}
 }
 
+// Version changes whenever forecasts may change, so that callers can keep them until
+// then.
+func (e *Estimator) Version() uint64 { return e.version }
+
 // step is what is known of one step.
 type step struct {
 	work    Work
--- a/core/estimate/observe.go
+++ b/core/estimate/observe.go
@@ -65,6 +65,7 @@
 		return
 	}
 	e.observed++
+	e.version++
 	r := e.runOf(&o)
 	if r.finished {
 		return
@@ -107,6 +108,7 @@
 // End tells that a run has ended without being done, such as by preemption. What it has
 // shown still counts.
 func (e *Estimator) End(id string) {
+	e.version++
 	if r := e.runs[id]; r != nil && !r.finished {
 		e.finish(r)
 	}
@@ -115,6 +117,7 @@
 // Discard withdraws what a run has shown, because it does not represent its step or
 // its workers.
 func (e *Estimator) Discard(id string) {
+	e.version++
 	r := e.runs[id]
 	if r == nil || r.finished {
 		return
--- a/core/estimate/worker.go
+++ b/core/estimate/worker.go
@@ -128,10 +128,14 @@
 		return
 	}
 	e.workerOf(id).given = given
+	e.version++
 }
 
 // Forget removes a worker that no longer exists.
-func (e *Estimator) Forget(id string) { delete(e.workers, id) }
+func (e *Estimator) Forget(id string) {
+	e.version++
+	delete(e.workers, id)
+}
 
 // recordDeviation counts runs in a row that deviate from what was expected of their
 // worker, and discounts earlier runs if the worker seems to have changed.
--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bramleythread/core/estimate"
 	"bramleythread/io/wire"
 )
 
@@ -52,7 +53,8 @@
 	expired           []*Job                   // with rows to delete
 	deleting          map[string]struct{}      // IDs of expired jobs in batches that are not committed
 	runTimes          map[string]*queueRunTime // by queue
-	unhealthyServices map[string]bool          // services that are probed only
+	speeds            *estimate.Estimator
+	unhealthyServices map[string]bool // services that are probed only
 	services          map[string]*serviceHealth
 	holders           map[*stage]struct{}     // stages with a hold on workers
 	reserved          map[*stage]*reservation // reservations of the current tick
@@ -69,6 +71,7 @@
 		workers:           make(map[string]*Worker),
 		guaranteed:        make(map[string]int),
 		runTimes:          make(map[string]*queueRunTime),
+		speeds:            estimate.New(estimate.Config{}),
 		unhealthyServices: make(map[string]bool),
 		services:          make(map[string]*serviceHealth),
 		deleting:          make(map[string]struct{}),
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"bramleythread/core/estimate"
 	"bramleythread/io/wire"
 )
 
@@ -56,6 +57,8 @@
 	heldTasks  map[*Worker]int // tasks for which room is held, by worker
 	holdUntil  time.Time
 	advice     advice
+	work       estimate.Work
+	expected   keptForecast // on a worker of median speed
 }
 
 // unplacedTasks returns the tasks to place. For a gang, whose tasks all run at
@@ -118,6 +121,9 @@
 	stalledFor   time.Duration // observed time without progress
 	listedAt     time.Duration // observedAt of the newest report that lists it
 	stopCause    string
+	speedID      string // of the run in Engine.speeds
+	expected     keptForecast
+	irregular    bool // its progress tells nothing of its step or worker
 }
 
 func (t *task) id() wire.TaskID {
@@ -147,7 +153,8 @@
 	pendingAcks    []ack
 	ackedEnd       int // newest end to acknowledge to the agent
 	health         health
-	dirty          bool // has changed orders to send
+	speedID        string // of the lifetime in Engine.speeds
+	dirty          bool   // has changed orders to send
 }
 
 // sortedRuns returns the runs of the worker in the order of their tasks, so that
--- a/core/job/learn.go
+++ b/core/job/learn.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bramleythread/core/estimate"
 )
 
 // newestRunWeight is the weight of the newest run in the moving average, which so
@@ -34,9 +36,20 @@
 	measured.mean += time.Duration(newestRunWeight * float64(elapsed-measured.mean))
 }
 
-// expectedRunTime returns the expected run time of a task. The caller's estimate is
-// used only until a run of the queue has been measured.
+// expectedRunTime returns the expected run time of a task on a worker of median speed.
 func (e *Engine) expectedRunTime(s *stage) time.Duration {
+	if e.cfg.Policy.NoSpeeds {
+		return e.meanRunTime(s)
+	}
+	if version := e.speeds.Version(); s.expected.version != version || s.expected.Median == 0 {
+		s.expected = keptForecast{e.speeds.Forecast(s.estimatedWork()), version}
+	}
+	return s.expected.Median
+}
+
+// meanRunTime returns the mean run time of the tasks of the stage's queue. The caller's
+// estimate is used only until a run of the queue has been measured.
+func (e *Engine) meanRunTime(s *stage) time.Duration {
 	if measured := e.runTimes[s.job.Queue]; measured != nil {
 		return measured.mean
 	}
@@ -65,16 +78,41 @@
 )
 
 // expectedRemaining returns how much longer a run is expected to take. The run's own
-// progress is more accurate than the average of the queue.
+// progress is more accurate than what is known of its step and workers.
 func (e *Engine) expectedRemaining(r *run, now time.Time) time.Duration {
-	expected := e.expectedOccupancy(r.task.stage)
-	if r.task.stage.step.LongRunning || r.startedAt.IsZero() {
+	if r.task.stage.step.LongRunning {
+		return longRunningTime
+	}
+	expected := e.forecastRun(r).Median
+	if r.startedAt.IsZero() {
 		return expected
 	}
 	gain, elapsed := r.percent-r.firstPercent, r.progressAt.Sub(r.startedAt)
 	left := expected - now.Sub(r.startedAt)
+	if !e.cfg.Policy.NoSpeeds {
+		left -= expected * time.Duration(r.firstPercent) / 100
+	}
 	if gain >= minGainPercent && elapsed >= minGainTime {
 		left = elapsed*time.Duration(100-r.percent)/time.Duration(gain) - now.Sub(r.progressAt)
 	}
 	return max(left, expected/20)
 }
+
+// forecastRun returns the expected time of the whole work of a run's task on the run's
+// worker, or of its gang on the members' workers.
+func (e *Engine) forecastRun(r *run) estimate.Forecast {
+	if e.cfg.Policy.NoSpeeds {
+		return estimate.Forecast{Median: e.meanRunTime(r.task.stage)}
+	}
+	if version := e.speeds.Version(); r.expected.version != version || r.expected.Median == 0 {
+		r.expected = keptForecast{e.speeds.Forecast(r.task.stage.estimatedWork(), speedIDs(r.members())...), version}
+	}
+	return r.expected.Forecast
+}
+
+// keptForecast is a forecast and the version of Engine.speeds that it is of. A tick
+// uses most forecasts many times.
+type keptForecast struct {
+	estimate.Forecast
+	version uint64
+}
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -23,6 +23,10 @@
 
 	// NoEjection gives work also to workers whose runs fail.
 	NoEjection bool
+
+	// NoSpeeds forecasts run times as one mean per queue, regardless of the worker,
+	// instead of by core/estimate.
+	NoSpeeds bool
 }
 
 // Policies maps names to the policies that experiments compare.
@@ -33,6 +37,7 @@
 	"no_reserve":  {NoReserve: true},
 	"first_fit":   {FirstFit: true},
 	"no_ejection": {NoEjection: true},
+	"no_speeds":   {NoSpeeds: true},
 }
 
 // sortQueue sorts waiting stages, the most urgent first.
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -95,6 +95,7 @@
 		w = newWorker(r.Node, now.Add(e.cfg.LeaseLimit))
 		w.WorkerInfo = r.Worker
 	}
+	e.inheritSlowness(w, others)
 	slices.SortFunc(others, func(a, b *Worker) int { return cmp.Compare(a.Born, b.Born) })
 	for _, other := range others {
 		if other.Instance == w.Instance {
@@ -131,6 +132,7 @@
 			run.phase = ordered
 		}
 		run.startedAt, run.listedAt, run.stalledFor = time.Time{}, 0, 0
+		e.discardObservation(run)
 		e.markChanged(run.task.stage.job) // its row names the worker's lifetime
 		e.recordDecision(Decision{Kind: "run_moved", Job: id.Job, Task: id, Run: run.number, Worker: to.Node, Reason: "worker_restarted"})
 	}
@@ -230,7 +232,9 @@
 		if t.Percent-r.firstPercent >= minGainPercent {
 			r.worker.health.recordProgress(r)
 		}
+		e.noteStall(r)
 		r.percent, r.progressAt, r.stalledFor = t.Percent, now, 0
+		e.observeProgress(r)
 	} else if r.listedAt > 0 && r.worker.observedAt > r.listedAt {
 		r.stalledFor += min(r.worker.observedAt-r.listedAt, maxStallIncrement)
 	}
@@ -306,6 +310,7 @@
 	if how == wire.EndFailed {
 		e.recordWorkerFailure(r, now)
 	}
+	e.observeEnd(r, how, now)
 	e.detachRun(r)
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
--- /dev/null
+++ b/core/job/speed.go
@@ -0,0 +1,167 @@
+package job
+
+import (
+	"strconv"
+	"time"
+
+	"bramleythread/core/estimate"
+	"bramleythread/io/wire"
+)
+
+// estimatedWork describes the stage's tasks to Engine.speeds.
+func (s *stage) estimatedWork() estimate.Work {
+	if s.work.Step == "" {
+		s.work = estimate.Work{
+			Step:  s.job.ID + "/" + strconv.Itoa(s.key.occurrence) + "/" + strconv.Itoa(s.key.step),
+			Queue: s.job.Queue, Customer: s.job.Customer, Image: s.step.Image, Tasks: s.step.Count,
+			Demand: s.step.Demand, Gang: s.step.Gang, Estimate: s.step.Estimate,
+		}
+	}
+	return s.work
+}
+
+// speedKey identifies the worker's lifetime in Engine.speeds.
+func (w *Worker) speedKey() string {
+	if w.speedID == "" {
+		w.speedID = w.Node + " " + w.Instance + " " + strconv.FormatInt(w.Born, 10)
+	}
+	return w.speedID
+}
+
+// speedKey identifies the run in Engine.speeds. The members of a gang are one run.
+func (r *run) speedKey() string {
+	if r.speedID == "" {
+		id := r.task.stage.estimatedWork().Step
+		if !r.task.stage.step.Gang {
+			id += "/" + strconv.Itoa(r.task.index)
+		}
+		r.speedID = id + "#" + strconv.Itoa(r.number)
+	}
+	return r.speedID
+}
+
+// members returns the runs of the run's gang, or the run alone.
+func (r *run) members() []*run {
+	s := r.task.stage
+	if !s.step.Gang {
+		return []*run{r}
+	}
+	members := make([]*run, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		if t.run != nil && t.run.number == r.number {
+			members = append(members, t.run)
+		}
+	}
+	return members
+}
+
+func speedIDs(runs []*run) []string {
+	ids := make([]string, len(runs))
+	for i, r := range runs {
+		ids[i] = r.worker.speedKey()
+	}
+	return ids
+}
+
+// observeProgress tells Engine.speeds of a run's progress. A gang is observed by its
+// member that started last, since it makes no progress before.
+func (e *Engine) observeProgress(r *run) {
+	if r.phase == stopping || r.task.done || !e.tellsOfSpeed(r) {
+		return
+	}
+	members := r.members()
+	if lastStarted(members) != r || !r.regular(members) {
+		return
+	}
+	e.speeds.Observe(estimate.Observation{
+		Work: r.task.stage.estimatedWork(), Workers: speedIDs(members), Run: r.speedKey(),
+		Elapsed: r.progressAt.Sub(r.startedAt), Share: float64(r.percent-r.firstPercent) / completePercent,
+	})
+}
+
+// observeEnd tells Engine.speeds how a run ended. The caller has not detached the run
+// yet. Runs that failed or stalled tell nothing; those that were stopped for another
+// reason count with what they have done.
+func (e *Engine) observeEnd(r *run, how wire.RunEnd, now time.Time) {
+	switch {
+	case how == wire.EndFailed || r.stopCause == stalledCause || r.irregular:
+		e.discardObservation(r)
+		return
+	case how != wire.EndDone || r.task.done || !e.tellsOfSpeed(r):
+		e.speeds.End(r.speedKey())
+		return
+	}
+	members := r.members()
+	last := lastStarted(members)
+	if last == nil || !r.regular(members) {
+		e.discardObservation(r)
+		return
+	}
+	e.speeds.Observe(estimate.Observation{
+		Work: r.task.stage.estimatedWork(), Workers: speedIDs(members), Run: r.speedKey(),
+		Elapsed: now.Sub(last.startedAt), Share: float64(completePercent-last.firstPercent) / completePercent, Finished: true,
+	})
+	e.speeds.End(r.speedKey()) // in case the observation was too short to count
+}
+
+func (e *Engine) discardObservation(r *run) { e.speeds.Discard(r.speedKey()) }
+
+// lastStarted returns the run that started last, or nil if not all have started.
+func lastStarted(runs []*run) *run {
+	var last *run
+	for _, r := range runs {
+		if r.startedAt.IsZero() {
+			return nil
+		}
+		if last == nil || r.startedAt.After(last.startedAt) {
+			last = r
+		}
+	}
+	return last
+}
+
+// tellsOfSpeed reports whether the run's kind of work has a run time that depends on
+// the step and the worker alone.
+func (e *Engine) tellsOfSpeed(r *run) bool {
+	step := r.task.stage.step
+	return !e.cfg.Policy.NoSpeeds && !step.LongRunning && !step.UsesSpareCPU
+}
+
+// regular reports whether the runs of a gang, or the run alone, are near their data and
+// on workers of which nothing suggests that they are disturbed.
+func (r *run) regular(members []*run) bool {
+	s := r.task.stage
+	if s.step.Gang && len(members) < len(s.tasks) {
+		return false
+	}
+	for _, m := range members {
+		if m.irregular || !m.worker.health.isProven() {
+			return false
+		}
+		if s.step.DataRack != "" && m.worker.Rack != s.step.DataRack || s.step.SameRack && m.worker.Rack != members[0].worker.Rack {
+			return false
+		}
+	}
+	return true
+}
+
+// stalledCause is the cause of the stop of a stalled run.
+const stalledCause = "stalled"
+
+// noteStall marks a run that makes progress again after it has shown none for half of
+// the time after which it is stopped.
+func (e *Engine) noteStall(r *run) {
+	if !r.irregular && r.stalledFor > e.stallTimeout(r)/2 {
+		r.irregular = true
+		e.discardObservation(r)
+	}
+}
+
+// inheritSlowness makes what is known of the earlier lifetimes of a worker's VM a weak
+// prior for this one.
+func (e *Engine) inheritSlowness(w *Worker, earlier []*Worker) {
+	for _, other := range earlier {
+		e.speeds.SetPrior(w.speedKey(), e.speeds.Slowness(other.speedKey()).NextLifetime())
+		e.speeds.Forget(other.speedKey())
+	}
+}
--- /dev/null
+++ b/core/job/speed_test.go
@@ -0,0 +1,145 @@
+package job
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"bramleythread/core/estimate"
+	"bramleythread/io/wire"
+
+	"github.com/matryer/is"
+)
+
+// progress reports the progress of all runs of n workers each half second. A run takes
+// the given time on its worker.
+func (f *testCluster) progress(d time.Duration, start time.Time, times []time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(500 * time.Millisecond)
+		for i, total := range times {
+			f.report(node(i), func(r *wire.WorkerReport) {
+				for k := range r.Running {
+					r.Running[k].Percent = int(100 * f.now.Sub(start) / total)
+				}
+			}, nil)
+		}
+	}
+}
+
+// TestWorkersAreObserved guards against runs that tell of their workers and are
+// ignored, and against others that make their workers look slow.
+func TestWorkersAreObserved(t *testing.T) {
+	far, background, serving := step(1, 8), step(1, 0), step(1, 8)
+	far.DataRack = "rack-9" // no worker is there
+	background.UsesSpareCPU, serving.LongRunning = true, true
+	slow := []time.Duration{10 * time.Second, 10 * time.Second, 10 * time.Second, 10 * time.Second}
+	tests := map[string]struct {
+		step    wire.JobStep
+		change  func(f *testCluster)
+		ignored bool
+	}{
+		"one task":                      {step: step(1, 8)},
+		"a gang":                        {step: gang(2, 8)},
+		"far from its data":             {step: far, ignored: true},
+		"a same-rack gang on two racks": {step: wire.JobStep{Count: 4, Demand: wire.Resources{CPU: 1000, Memory: 1024, Accelerators: 8}, Gang: true, SameRack: true}, ignored: true},
+		"background work":               {step: background, ignored: true},
+		"long-running work":             {step: serving, ignored: true},
+		"a worker that fails runs":      {step: step(1, 8), change: func(f *testCluster) { f.e.workers[node(0)].health = health{failures: 2, lateFailures: 2} }, ignored: true},
+		"a run that was disturbed":      {step: step(1, 8), change: func(f *testCluster) { f.runs("j")[0].stalledFor = time.Minute }, ignored: true},
+		"a run that is being stopped":   {step: step(1, 8), change: func(f *testCluster) { f.e.stopRun(f.runs("j")[0], "preempted") }, ignored: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			f.workers(4)
+			f.e.Submit(f.job("j", 1, tt.step), f.now)
+			for len(f.runs("j")) == 0 {
+				f.tick()
+				f.now = f.now.Add(500 * time.Millisecond)
+				f.workers(4)
+			}
+			if tt.change != nil {
+				tt.change(f)
+			}
+			w := f.runs("j")[0].worker
+			unknown := estimate.New(estimate.Config{}).Slowness("")
+			f.progress(time.Second, f.now, slow)
+			is.Equal(f.e.speeds.Slowness(w.speedKey()) == unknown, tt.ignored)
+		})
+	}
+}
+
+// TestFailedRunsTellNothingOfSpeed guards against the progress of a run that fails
+// later counting against its worker.
+func TestFailedRunsTellNothingOfSpeed(t *testing.T) {
+	for how, tells := range map[wire.RunEnd]bool{wire.EndFailed: false, wire.EndDone: true, wire.EndStopped: true} {
+		t.Run(string(how), func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			f.workers(1)
+			f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+			f.tick()
+			f.report(node(0), nil, nil)
+			f.progress(2*time.Second, f.now, []time.Duration{20 * time.Second})
+			f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: how})
+			sigma := f.e.speeds.Slowness(f.e.workers[node(0)].speedKey()).Sigma
+			is.Equal(sigma < 0.499, tells)
+		})
+	}
+}
+
+// TestResumedRunCountsItsOwnShare guards against a run that resumes from a checkpoint, or
+// that a new scheduler takes over, looking several times as fast as it is.
+func TestResumedRunCountsItsOwnShare(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	f.workers(1)
+	f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+	f.tick()
+	start := f.now.Add(-8 * time.Second) // it stands at 80 percent
+	f.progress(1500*time.Millisecond, start, []time.Duration{10 * time.Second})
+	f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: wire.EndDone})
+	f.e.Submit(f.job("next", 1, step(1, 8)), f.now)
+	expected := f.e.expectedRunTime(f.e.jobs["next"].stageList[0])
+	is.True(expected > 5*time.Second && expected < 12*time.Second)
+}
+
+// TestExpectedRemainingDependsOnWorker guards against forecasts for running and waiting
+// tasks that ignore where they run.
+func TestExpectedRemainingDependsOnWorker(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	f.workers(4)
+	times := []time.Duration{4 * time.Second, 4 * time.Second, 4 * time.Second, 12 * time.Second}
+	wide := step(4, 4)
+	wide.MaxPerWorker = 1
+	f.e.Submit(f.job("wide", 1, wide), f.now)
+	f.tick()
+	f.workers(4)
+	f.progress(2*time.Second, f.now, times)
+	f.e.Submit(f.job("next", 1, wide), f.now)
+	f.tick()
+	slow, fast := time.Duration(0), time.Duration(math.MaxInt64)
+	for _, r := range f.runs("next") {
+		left := f.e.expectedRemaining(r, f.now)
+		slow, fast = max(slow, left), min(fast, left)
+	}
+	is.True(slow > 3*fast/2)
+	is.Equal(f.e.expectedRemaining(f.e.workers[node(3)].sortedRuns()[0], f.now), slow) // the job "next" sorts first
+	median := f.e.expectedRunTime(f.e.jobs["next"].stageList[0])
+	is.True(median >= fast && median < slow)
+}
+
+// TestNewLifetimeKeepsFactorAsWeakPrior guards against a worker that starts again being
+// unknown, or being taken as known as before.
+func TestNewLifetimeKeepsFactorAsWeakPrior(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	f.workers(1)
+	f.e.speeds.SetPrior(f.e.workers[node(0)].speedKey(), estimate.Slowness{Log: 0.8, Sigma: 0.1})
+	f.report(node(0), func(r *wire.WorkerReport) { r.Worker.Born = 2 }, nil)
+	s := f.e.speeds.Slowness(f.e.workers[node(0)].speedKey())
+	is.True(math.Abs(s.Log-0.8) < 0.01)
+	is.True(s.Sigma > 0.3 && s.Sigma < 0.5)
+}
--- a/core/job/stall.go
+++ b/core/job/stall.go
@@ -46,5 +46,5 @@
 	j := r.task.stage.job
 	e.recordDecision(Decision{Kind: "stalled", Job: j.ID, Task: r.task.id(), Run: r.number, Worker: r.worker.Node, Reason: fmt.Sprintf("no_progress:percent=%d", r.percent), Age: now.Sub(r.progressAt)})
 	e.recordRunFailure(r, true, now)
-	e.stopRunOrGang(r, "stalled")
+	e.stopRunOrGang(r, stalledCause)
 }
