Keep the learned speed of a worker at its agent

A new scheduler knows no worker's speed, and learns it only from runs. The orders now carry what the scheduler knows of the worker (WorkerOrders.slowness: model version, lifetime, logarithm, standard deviation). The agent keeps the latest one in memory, across connections and lifetimes of its worker, and returns it in its reports. A scheduler takes it as a prior at the first report of a lifetime, as a weaker one if it is of an earlier lifetime. It ignores another model's version and values that are not finite or out of range.

Ruled out: a row of the store for each worker, which needs a write for knowledge that may be lost; to take the value of every report, which returns the scheduler's own knowledge to it.

--- a/core/estimate/worker.go
+++ b/core/estimate/worker.go
@@ -5,6 +5,10 @@
 	"slices"
 )
 
+// ModelVersion is the version of the model. Factors of another version mean something
+// else.
+const ModelVersion = 1
+
 // Slowness is the factor by which the runs of a worker take longer than those of the
 // median worker: its natural logarithm and the standard deviation of that.
 type Slowness struct{ Log, Sigma float64 }
--- a/core/job/orders.go
+++ b/core/job/orders.go
@@ -29,7 +29,7 @@
 	if !ok || !w.reported {
 		return wire.WorkerOrders{}, false
 	}
-	o := wire.WorkerOrders{Instance: w.Instance, Born: w.Born, AckedEnds: w.ackedEnd}
+	o := wire.WorkerOrders{Instance: w.Instance, Born: w.Born, AckedEnds: w.ackedEnd, Slowness: e.slownessOf(w)}
 	for _, r := range w.sortedRuns() {
 		id := r.task.id()
 		if step := r.task.stage.step; (step.TargetLatency > 0 || step.UsesSpareCPU) && r.phase != stopping {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -21,6 +21,9 @@
 	}
 	w.sequence, w.lastReport = r.Sequence, now
 	w.leaseEnd = now.Add(e.cfg.LeaseLimit)
+	if !w.reported {
+		e.restoreSlowness(w, r.Slowness)
+	}
 	if !w.reported || w.Rack != r.Worker.Rack {
 		w.WorkerInfo, w.reported = r.Worker, true
 		e.sortWorkers()
--- a/core/job/speed.go
+++ b/core/job/speed.go
@@ -165,3 +165,25 @@
 		e.speeds.Forget(other.speedKey())
 	}
 }
+
+// slownessOf returns what is known of the worker's speed, for its agent to keep.
+func (e *Engine) slownessOf(w *Worker) *wire.WorkerSlowness {
+	s := e.speeds.Slowness(w.speedKey())
+	if e.cfg.Policy.NoSpeeds || !s.Valid() {
+		return nil
+	}
+	return &wire.WorkerSlowness{Model: estimate.ModelVersion, Born: w.Born, Log: s.Log, Sigma: s.Sigma}
+}
+
+// restoreSlowness makes what an agent has kept of its worker a prior. It is a weak one
+// if it was learned in an earlier lifetime.
+func (e *Engine) restoreSlowness(w *Worker, kept *wire.WorkerSlowness) {
+	if kept == nil || kept.Model != estimate.ModelVersion {
+		return
+	}
+	s := estimate.Slowness{Log: kept.Log, Sigma: kept.Sigma}
+	if kept.Born != w.Born {
+		s = s.NextLifetime()
+	}
+	e.speeds.SetPrior(w.speedKey(), s)
+}
--- a/core/job/speed_test.go
+++ b/core/job/speed_test.go
@@ -143,3 +143,37 @@
 	is.True(math.Abs(s.Log-0.8) < 0.01)
 	is.True(s.Sigma > 0.3 && s.Sigma < 0.5)
 }
+
+// TestFactorSurvivesTakeover guards against a new scheduler that takes all workers as
+// equal, and against one that believes a broken report or one of another model.
+func TestFactorSurvivesTakeover(t *testing.T) {
+	unknown := estimate.New(estimate.Config{}).Slowness("")
+	tests := map[string]struct {
+		change func(s *wire.WorkerSlowness)
+		log    float64
+		sigma  float64
+	}{
+		"as it was sent":         {change: func(*wire.WorkerSlowness) {}, log: 0.8, sigma: 0.1},
+		"of an earlier lifetime": {change: func(s *wire.WorkerSlowness) { s.Born = 7 }, log: 0.8, sigma: math.Hypot(0.1, 0.3)},
+		"of another model":       {change: func(s *wire.WorkerSlowness) { s.Model++ }, log: unknown.Log, sigma: unknown.Sigma},
+		"not a number":           {change: func(s *wire.WorkerSlowness) { s.Log = math.NaN() }, log: unknown.Log, sigma: unknown.Sigma},
+		"out of range":           {change: func(s *wire.WorkerSlowness) { s.Sigma = 1e9 }, log: unknown.Log, sigma: unknown.Sigma},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			f.workers(1)
+			f.e.speeds.SetPrior(f.e.workers[node(0)].speedKey(), estimate.Slowness{Log: 0.8, Sigma: 0.1})
+			o, _ := f.e.Orders(node(0))
+			f.restart()
+			f.report(node(0), func(r *wire.WorkerReport) {
+				r.Slowness = o.Slowness
+				tt.change(r.Slowness)
+			}, nil)
+			s := f.e.speeds.Slowness(f.e.workers[node(0)].speedKey())
+			is.True(math.Abs(s.Log-tt.log) < 1e-6)
+			is.True(math.Abs(s.Sigma-tt.sigma) < 1e-6)
+		})
+	}
+}
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -13,7 +13,7 @@
 //msgp:shim WorkerState as:string using:string/WorkerState
 //msgp:shim RunEnd as:string using:string/RunEnd
 //msgp:shim SubmitOutcome as:string using:string/SubmitOutcome
-//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun SharedTask OccurrenceRange
+//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask WorkerSlowness EndedRun RefusedRun SharedTask OccurrenceRange
 
 // JobState is the state of a job, as reported to callers.
 type JobState string
@@ -227,6 +227,17 @@
 	Ended     []EndedRun    `msg:"ended"`
 	Refused   []RefusedRun  `msg:"refused"`
 	Pending   []TaskRun     `msg:"pending"` // starts and stops whose outcome is not yet known
+
+	Slowness *WorkerSlowness `msg:"slowness,omitempty"` // from the latest orders that held one
+}
+
+// WorkerSlowness is what a scheduler knows of a worker's speed. The agent keeps it for
+// the next scheduler. Log and Sigma are those of estimate.Slowness.
+type WorkerSlowness struct {
+	Model int // version of the model that it belongs to
+	Born  int64
+	Log   float64
+	Sigma float64
 }
 
 // StartTask orders the start of a run. Ticket comes from the advice service.
@@ -260,6 +271,8 @@
 	Starts         []StartTask   `msg:"starts"`
 	Stops          []TaskRun     `msg:"stops"`
 	Shared         []SharedTask  `msg:"shared,omitempty"`
+
+	Slowness *WorkerSlowness `msg:"slowness,omitempty"` // of the worker, to be returned in reports
 }
 
 // JobQuery asks the scheduler for the state of a job.
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -2958,13 +2958,17 @@
 func (z *WorkerOrders) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Shared == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Slowness == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -3026,6 +3030,19 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "slowness"
+			o = append(o, 0xa8, 0x73, 0x6c, 0x6f, 0x77, 0x6e, 0x65, 0x73, 0x73)
+			if z.Slowness == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Slowness.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Slowness")
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -3178,6 +3195,23 @@
 					return
 				}
 			}
+		case "slowness":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Slowness = nil
+			} else {
+				if z.Slowness == nil {
+					z.Slowness = new(WorkerSlowness)
+				}
+				bts, err = z.Slowness.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Slowness")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3204,6 +3238,12 @@
 	for za0003 := range z.Shared {
 		s += z.Shared[za0003].Msgsize()
 	}
+	s += 9
+	if z.Slowness == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Slowness.Msgsize()
+	}
 	return
 }
 
@@ -3258,72 +3298,98 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "sequence"
-	o = append(o, 0x89, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "node"
-	o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
-	o = msgp.AppendString(o, z.Node)
-	// string "sent"
-	o = append(o, 0xa4, 0x73, 0x65, 0x6e, 0x74)
-	o = msgp.AppendDuration(o, z.Sent)
-	// string "looked"
-	o = append(o, 0xa6, 0x6c, 0x6f, 0x6f, 0x6b, 0x65, 0x64)
-	o = msgp.AppendDuration(o, z.RunningAt)
-	// string "worker"
-	o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
-	o, err = z.Worker.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Worker")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(10)
+	var zb0001Mask uint16 /* 10 bits */
+	_ = zb0001Mask
+	if z.Slowness == nil {
+		zb0001Len--
+		zb0001Mask |= 0x200
 	}
-	// string "running"
-	o = append(o, 0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Running)))
-	for za0001 := range z.Running {
-		o, err = z.Running[za0001].MarshalMsg(o)
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "sequence"
+		o = append(o, 0xa8, 0x73, 0x65, 0x71, 0x75, 0x65, 0x6e, 0x63, 0x65)
+		o = msgp.AppendUint64(o, z.Sequence)
+		// string "node"
+		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
+		o = msgp.AppendString(o, z.Node)
+		// string "sent"
+		o = append(o, 0xa4, 0x73, 0x65, 0x6e, 0x74)
+		o = msgp.AppendDuration(o, z.Sent)
+		// string "looked"
+		o = append(o, 0xa6, 0x6c, 0x6f, 0x6f, 0x6b, 0x65, 0x64)
+		o = msgp.AppendDuration(o, z.RunningAt)
+		// string "worker"
+		o = append(o, 0xa6, 0x77, 0x6f, 0x72, 0x6b, 0x65, 0x72)
+		o, err = z.Worker.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Running", za0001)
+			err = msgp.WrapError(err, "Worker")
 			return
 		}
-	}
-	// string "ended"
-	o = append(o, 0xa5, 0x65, 0x6e, 0x64, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Ended)))
-	for za0002 := range z.Ended {
-		o, err = z.Ended[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Ended", za0002)
-			return
+		// string "running"
+		o = append(o, 0xa7, 0x72, 0x75, 0x6e, 0x6e, 0x69, 0x6e, 0x67)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Running)))
+		for za0001 := range z.Running {
+			o, err = z.Running[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Running", za0001)
+				return
+			}
 		}
-	}
-	// string "refused"
-	o = append(o, 0xa7, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Refused)))
-	for za0003 := range z.Refused {
-		// array header, size 3
-		o = append(o, 0x93)
-		o, err = z.Refused[za0003].Task.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Refused", za0003, "Task")
-			return
+		// string "ended"
+		o = append(o, 0xa5, 0x65, 0x6e, 0x64, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Ended)))
+		for za0002 := range z.Ended {
+			o, err = z.Ended[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Ended", za0002)
+				return
+			}
 		}
-		o = msgp.AppendInt(o, z.Refused[za0003].Run)
-		o = msgp.AppendString(o, z.Refused[za0003].Reason)
-	}
-	// string "pending"
-	o = append(o, 0xa7, 0x70, 0x65, 0x6e, 0x64, 0x69, 0x6e, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Pending)))
-	for za0004 := range z.Pending {
-		// array header, size 2
-		o = append(o, 0x92)
-		o, err = z.Pending[za0004].Task.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Pending", za0004, "Task")
-			return
+		// string "refused"
+		o = append(o, 0xa7, 0x72, 0x65, 0x66, 0x75, 0x73, 0x65, 0x64)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Refused)))
+		for za0003 := range z.Refused {
+			// array header, size 3
+			o = append(o, 0x93)
+			o, err = z.Refused[za0003].Task.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Refused", za0003, "Task")
+				return
+			}
+			o = msgp.AppendInt(o, z.Refused[za0003].Run)
+			o = msgp.AppendString(o, z.Refused[za0003].Reason)
+		}
+		// string "pending"
+		o = append(o, 0xa7, 0x70, 0x65, 0x6e, 0x64, 0x69, 0x6e, 0x67)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Pending)))
+		for za0004 := range z.Pending {
+			// array header, size 2
+			o = append(o, 0x92)
+			o, err = z.Pending[za0004].Task.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Pending", za0004, "Task")
+				return
+			}
+			o = msgp.AppendInt(o, z.Pending[za0004].Run)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "slowness"
+			o = append(o, 0xa8, 0x73, 0x6c, 0x6f, 0x77, 0x6e, 0x65, 0x73, 0x73)
+			if z.Slowness == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				o, err = z.Slowness.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Slowness")
+					return
+				}
+			}
 		}
-		o = msgp.AppendInt(o, z.Pending[za0004].Run)
 	}
 	return
 }
@@ -3507,6 +3573,23 @@
 					return
 				}
 			}
+		case "slowness":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Slowness = nil
+			} else {
+				if z.Slowness == nil {
+					z.Slowness = new(WorkerSlowness)
+				}
+				bts, err = z.Slowness.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Slowness")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3537,6 +3620,66 @@
 	for za0004 := range z.Pending {
 		s += 1 + z.Pending[za0004].Task.Msgsize() + msgp.IntSize
 	}
+	s += 9
+	if z.Slowness == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Slowness.Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *WorkerSlowness) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt(o, z.Model)
+	o = msgp.AppendInt64(o, z.Born)
+	o = msgp.AppendFloat64(o, z.Log)
+	o = msgp.AppendFloat64(o, z.Sigma)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WorkerSlowness) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Model, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Model")
+		return
+	}
+	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Born")
+		return
+	}
+	z.Log, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Log")
+		return
+	}
+	z.Sigma, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sigma")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *WorkerSlowness) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.Int64Size + msgp.Float64Size + msgp.Float64Size
 	return
 }
 
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -69,9 +69,10 @@
 	clockAt          time.Time                // when it was received
 	lifetime         uint64                   // number of lifetimes of the worker since this agent started
 	orders           wire.WorkerOrders
-	sequence         uint64    // of the latest report
-	polled           bool      // the worker has been polled in this connection and lifetime
-	polledAt         time.Time // send time of the latest poll that was applied
+	slowness         *wire.WorkerSlowness // from the latest orders with one; it outlives connections and lifetimes
+	sequence         uint64               // of the latest report
+	polled           bool                 // the worker has been polled in this connection and lifetime
+	polledAt         time.Time            // send time of the latest poll that was applied
 	running          map[wire.TaskRun]wire.RunningTask
 	unlistedStarts   map[wire.TaskRun]time.Time // start times of runs that no poll has listed yet
 	ended            []wire.EndedRun
@@ -216,6 +217,9 @@
 	o.LastReportSent = max(o.LastReportSent, a.orders.LastReportSent)
 	acked := o.AckedEnds > a.orders.AckedEnds
 	a.orders, a.ordered = *o, true
+	if o.Slowness != nil {
+		a.slowness = o.Slowness
+	}
 	if first {
 		a.requestPoll()
 	}
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -267,6 +267,7 @@
 	a.sequence++
 	m := &wire.WorkerReport{
 		Sequence: a.sequence, Node: a.cfg.Node, Sent: a.cfg.BootTime(), RunningAt: a.polledAt.Sub(a.start), Worker: a.info, Ended: a.ended,
+		Slowness: a.slowness,
 	}
 	for _, t := range a.running {
 		m.Running = append(m.Running, t)
