Measure the progress of a resumed run from its checkpoint

Cause: agents list a run that they have just started at 0 percent. For a run that resumes from a checkpoint the next listing then seemed to be progress, so that runs of a few tenths of a second counted as the whole work. Workers of slowness 1.7 were taken for fast ones with a standard deviation of 0.1.

Ruled out: the model of gangs. The wrong factors came from finished second runs of single tasks, whose logarithmic times were up to 3 below their step's level.

Change: such a run is measured from the first percentage above 0 that is listed. Progress counts from 4 percent on and the error of its rounding is larger, since the runs that start together on a worker are rounded alike.

Result: go test ./core/job ./core/estimate ./core/emulate.

--- a/core/estimate/observe.go
+++ b/core/estimate/observe.go
@@ -23,7 +23,7 @@
 // Limits of what counts as an observation.
 const (
 	minProgressTime  = 300 * time.Millisecond
-	minProgressShare = 0.02
+	minProgressShare = 0.04
 
 	// minFinishedShare excludes runs that resumed close to their end, whose time
 	// is mostly that of starting and stopping.
@@ -37,9 +37,10 @@
 	// constant pace.
 	progressVariance = 0.12 * 0.12
 
-	// roundingError is the standard deviation of a share computed from two
-	// whole percentages.
-	roundingError = 0.01 * 0.41
+	// roundingError is the standard deviation of a share computed from whole
+	// percentages. Runs that start together are rounded alike, so it exceeds that
+	// of independent errors.
+	roundingError = 0.006
 
 	// timingError is the standard deviation of an elapsed time, in seconds: that
 	// of the times between a worker's listing and its processing.
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -116,7 +116,9 @@
 	placedAt     time.Time
 	startedAt    time.Time     // when the worker first listed it
 	percent      int           // completed share of the work
-	firstPercent int           // percent at startedAt
+	resumed      bool          // it continues from a checkpoint
+	firstPercent int           // percent from which its progress is measured
+	measuredFrom time.Time     // when firstPercent was listed
 	progressAt   time.Time     // when percent last changed
 	stalledFor   time.Duration // observed time without progress
 	listedAt     time.Duration // observedAt of the newest report that lists it
--- a/core/job/learn.go
+++ b/core/job/learn.go
@@ -87,8 +87,8 @@
 	if r.startedAt.IsZero() {
 		return expected
 	}
-	gain, elapsed := r.percent-r.firstPercent, r.progressAt.Sub(r.startedAt)
-	left := expected - now.Sub(r.startedAt)
+	gain, elapsed := r.percent-r.firstPercent, r.progressAt.Sub(r.measuredFrom)
+	left := expected - now.Sub(r.measuredFrom)
 	if !e.cfg.Policy.NoSpeeds {
 		left -= expected * time.Duration(r.firstPercent) / 100
 	}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -222,13 +222,16 @@
 	if r.startedAt.IsZero() {
 		r.task.stage.job.everStarted = true
 		r.startedAt, r.progressAt = now, now
-		r.firstPercent, r.percent = t.Percent, t.Percent
+		r.firstPercent, r.percent, r.measuredFrom = t.Percent, t.Percent, now
 	}
 	if r.phase == ordered {
 		r.phase = started
 		r.worker.dirty = true
 	}
 	if t.Percent != r.percent {
+		if r.resumed && r.firstPercent == 0 { // the start was listed before the checkpoint was restored
+			r.firstPercent, r.measuredFrom = t.Percent, now
+		}
 		if r.task.stage.step.LongRunning && t.Percent >= completePercent {
 			r.worker.health.recordSuccess(r) // the run never ends as done
 		}
@@ -285,7 +288,7 @@
 // attachRun adds a run of a task to a worker.
 func (e *Engine) attachRun(t *task, w *Worker, number int, now time.Time) *run {
 	s := t.stage
-	r := &run{task: t, number: number, worker: w, placedAt: now, jobVersion: s.job.version}
+	r := &run{task: t, number: number, worker: w, placedAt: now, jobVersion: s.job.version, resumed: t.checkpoint != ""}
 	t.run, t.lastRun = r, number
 	w.runs[t.id()] = r
 	w.used = add(w.used, demand(s.step))
--- a/core/job/speed.go
+++ b/core/job/speed.go
@@ -75,10 +75,21 @@
 	}
 	e.speeds.Observe(estimate.Observation{
 		Work: r.task.stage.estimatedWork(), Workers: speedIDs(members), Run: r.speedKey(),
-		Elapsed: r.progressAt.Sub(r.startedAt), Share: float64(r.percent-r.firstPercent) / completePercent,
+		Elapsed: r.progressAt.Sub(r.measuredFrom), Share: r.shareDone(),
 	})
 }
 
+// shareDone returns the share of the task's work that the run has done since
+// measuredFrom. Workers round the percentage down, which matters only if the run began
+// with nothing done.
+func (r *run) shareDone() float64 {
+	share := float64(r.percent-r.firstPercent) / completePercent
+	if r.firstPercent == 0 && share > 0 {
+		share += 0.5 / completePercent
+	}
+	return share
+}
+
 // observeEnd tells Engine.speeds how a run ended. The caller has not detached the run
 // yet. Runs that failed or stalled tell nothing; those that were stopped for another
 // reason count with what they have done.
@@ -93,13 +104,13 @@
 	}
 	members := r.members()
 	last := lastStarted(members)
-	if last == nil || !r.regular(members) {
+	if last == nil || last.resumed && last.firstPercent == 0 || !r.regular(members) {
 		e.discardObservation(r)
 		return
 	}
 	e.speeds.Observe(estimate.Observation{
 		Work: r.task.stage.estimatedWork(), Workers: speedIDs(members), Run: r.speedKey(),
-		Elapsed: now.Sub(last.startedAt), Share: float64(completePercent-last.firstPercent) / completePercent, Finished: true,
+		Elapsed: now.Sub(last.measuredFrom), Share: float64(completePercent-last.firstPercent) / completePercent, Finished: true,
 	})
 	e.speeds.End(r.speedKey()) // in case the observation was too short to count
 }
--- a/core/job/speed_test.go
+++ b/core/job/speed_test.go
@@ -177,3 +177,38 @@
 		})
 	}
 }
+
+// TestProgressOfResumedRun guards against counting what a checkpoint holds as progress of
+// the run that resumes from it: agents list a run that they have just started at 0
+// percent.
+func TestProgressOfResumedRun(t *testing.T) {
+	tests := map[string]struct {
+		checkpoint string
+		percents   []int // listed at intervals of one second
+		share      float64
+		measured   time.Duration
+	}{
+		"from the beginning":  {percents: []int{0, 10, 20}, share: 0.205, measured: 2 * time.Second},
+		"from a checkpoint":   {checkpoint: "c", percents: []int{0, 45, 55}, share: 0.1, measured: time.Second},
+		"listed with percent": {checkpoint: "c", percents: []int{45, 55, 65}, share: 0.2, measured: 2 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			f.workers(1)
+			f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+			f.e.jobs["j"].stageList[0].tasks[0].checkpoint = tt.checkpoint
+			f.tick()
+			for i, percent := range tt.percents {
+				if i > 0 {
+					f.now = f.now.Add(time.Second)
+				}
+				f.report(node(0), func(r *wire.WorkerReport) { r.Running[0].Percent = percent }, nil)
+			}
+			r := f.runs("j")[0]
+			is.True(math.Abs(r.shareDone()-tt.share) < 1e-9)
+			is.Equal(r.progressAt.Sub(r.measuredFrom), tt.measured)
+		})
+	}
+}
--- a/core/job/stall.go
+++ b/core/job/stall.go
@@ -31,7 +31,7 @@
 func (e *Engine) stallTimeout(r *run) time.Duration {
 	timePerPercent := time.Duration(longestRunFactor*e.cfg.RackFactor*float64(e.expectedRunTime(r.task.stage))) / 100
 	if gain := r.percent - r.firstPercent; gain > 0 {
-		timePerPercent = r.progressAt.Sub(r.startedAt) / time.Duration(gain)
+		timePerPercent = r.progressAt.Sub(r.measuredFrom) / time.Duration(gain)
 	}
 	return minStallTimeout + stallPercent*timePerPercent
 }
