Place work by the speeds of the workers

Cause: on a site whose workers differ in speed by 2.4 times, urgent work starts at once and ends late: 60 of 100 urgent jobs missed their objective because one member of their gang ran on a slow worker.

Change: a stage takes workers of one speed class at a time, since the slowest member of a gang sets its pace. Work with slack takes unknown workers, then the slowest that are fast enough; work without slack those known to be fast enough. Urgent work that a slow worker would end too late waits up to 1.2 s for a faster one, or preempts less urgent work that loses less there. Nothing changes while the fastest and the slowest known worker differ by less than 1.5 times.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -63,6 +63,7 @@
 	holders           map[*stage]struct{}     // stages with a hold on workers
 	reserved          map[*stage]*reservation // reservations of the current tick
 	reservationCount  int                     // made in the current tick
+	speedsDiffer      bool                    // workers of different speed classes are known
 	createdAt         time.Time
 	evacuation        evacuation
 }
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -59,6 +59,9 @@
 	advice     advice
 	work       estimate.Work
 	expected   keptForecast // on a worker of median speed
+
+	maxSlowness   float64 // of workers that get its tasks in this tick; 0 for no limit
+	waitsForSpeed bool    // faster workers are free in time for its objective
 }
 
 // unplacedTasks returns the tasks to place. For a gang, whose tasks all run at
@@ -156,6 +159,7 @@
 	ackedEnd       int // newest end to acknowledge to the agent
 	health         health
 	speedID        string // of the lifetime in Engine.speeds
+	speed          speed  // in this tick
 	dirty          bool   // has changed orders to send
 }
 
--- a/core/job/fit.go
+++ b/core/job/fit.go
@@ -19,6 +19,11 @@
 	required := e.requiredEvidence(s, s.failures, s.lastFailed, now)
 	preferred := max(required, notUnproven)
 	known := slices.DeleteFunc(slices.Clone(c), func(x candidate) bool { return !x.satisfies(preferred, s.lastFailed.at) })
+	for _, set := range e.bySpeed(s, known, now) {
+		if chosen := e.fitGangLocally(s, set, n); chosen != nil {
+			return chosen
+		}
+	}
 	if chosen := e.fitGangNear(s, known, n, now); chosen != nil || required == preferred {
 		return chosen
 	}
@@ -28,28 +33,30 @@
 // fitGangNear chooses workers for the n tasks of a gang regardless of the workers'
 // health.
 func (e *Engine) fitGangNear(s *stage, c []candidate, n int, now time.Time) []*Worker {
-	near := slices.DeleteFunc(slices.Clone(c), func(x candidate) bool { return !x.nearData })
-	if s.step.SameRack {
-		if chosen := e.fitGangInRack(near, n); chosen != nil {
-			return chosen
-		}
-		if !e.acceptsRemotePlacement(s, now) {
-			return nil
-		}
-		if chosen := e.fitGangInRack(c, n); chosen != nil {
-			return chosen
-		}
-		return e.packTasks(c, n)
-	}
-	if chosen := e.packTasks(near, n); chosen != nil {
+	if chosen := e.fitGangLocally(s, c, n); chosen != nil {
 		return chosen
 	}
 	if !e.acceptsRemotePlacement(s, now) {
 		return nil
 	}
+	if s.step.SameRack {
+		if chosen := e.fitGangInRack(c, n); chosen != nil {
+			return chosen
+		}
+	}
 	return e.packTasks(c, n)
 }
 
+// fitGangLocally chooses workers near the stage's data, and in one rack if the stage
+// asks for that.
+func (e *Engine) fitGangLocally(s *stage, c []candidate, n int) []*Worker {
+	near := slices.DeleteFunc(slices.Clone(c), func(x candidate) bool { return !x.nearData })
+	if s.step.SameRack {
+		return e.fitGangInRack(near, n)
+	}
+	return e.packTasks(near, n)
+}
+
 // acceptsRemotePlacement reports whether the stage may be placed outside the rack of
 // its data, or on several racks, because it has waited long enough or has no choice.
 // It is always true for a stage that is not bound to a rack.
@@ -187,8 +194,18 @@
 		c = slices.DeleteFunc(c, func(x candidate) bool { return !x.nearData })
 	}
 	if !e.cfg.Policy.FirstFit {
+		order := func(int) int { return 0 }
+		if e.speedsDiffer {
+			order = e.speedOrder(s, now)
+		}
 		slices.SortStableFunc(c, func(a, b candidate) int {
-			return cmp.Or(-cmp.Compare(btoi(a.proven), btoi(b.proven)), -cmp.Compare(btoi(a.nearData), btoi(b.nearData)), cmp.Compare(btoi(a.w.cold()), btoi(b.w.cold())), cmp.Compare(freeAccelerators(a.w), freeAccelerators(b.w)))
+			return cmp.Or(
+				-cmp.Compare(btoi(a.proven), btoi(b.proven)),
+				-cmp.Compare(btoi(a.nearData), btoi(b.nearData)),
+				cmp.Compare(btoi(a.w.cold()), btoi(b.w.cold())),
+				cmp.Compare(order(a.w.speed.class), order(b.w.speed.class)),
+				cmp.Compare(freeAccelerators(a.w), freeAccelerators(b.w)),
+			)
 		})
 	}
 	var placed []*task
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -31,15 +31,7 @@
 // customer's guarantee stops only runs that lose nothing, unless it would
 // otherwise finish too late to be of value.
 func (e *Engine) reclaim(s *stage, tasks []*task, now time.Time) {
-	losesNothing := func(r *run) bool { return r.task.stage.step.Checkpoints || r.startedAt.IsZero() }
-	stoppable := func(*run) bool { return true }
-	reason := "guarantee"
-	if !e.withinGuarantee(s.job) {
-		stoppable, reason = losesNothing, "saved_only"
-		if now.Add(e.expectedRunTime(s)).After(e.worthlessAt(s).Add(-finalPreemptionWindow)) {
-			stoppable, reason = func(*run) bool { return true }, "last_minute"
-		}
-	}
+	stoppable, reason := e.stoppableFor(s, now)
 	best := e.cheapestPreemption(s, len(tasks), stoppable, now)
 	if best != nil && !availabilityAllows(best.victims) {
 		allowed := stoppable
@@ -54,6 +46,24 @@
 	e.holdRoom(s, best.tasksPerWorker, now.Add(holdDuration))
 }
 
+// stoppableFor returns which runs the stage may preempt, and the reason. For faster
+// workers it preempts only less urgent work, since others have room for it.
+func (e *Engine) stoppableFor(s *stage, now time.Time) (stoppable func(*run) bool, reason string) {
+	allowed := func(*run) bool { return true }
+	reason = "guarantee"
+	if !e.withinGuarantee(s.job) {
+		allowed = func(r *run) bool { return r.task.stage.step.Checkpoints || r.startedAt.IsZero() }
+		reason = "saved_only"
+		if now.Add(e.expectedRunTime(s)).After(e.worthlessAt(s).Add(-finalPreemptionWindow)) {
+			allowed, reason = func(*run) bool { return true }, "last_minute"
+		}
+	}
+	if s.maxSlowness == 0 {
+		return allowed, reason
+	}
+	return func(r *run) bool { return r.task.stage.job.Priority > s.job.Priority && allowed(r) }, reason
+}
+
 // workOf returns the work of n tasks of a stage in core-seconds. Work beyond a
 // guarantee must not make others lose more than this.
 func (e *Engine) workOf(s *stage, n int) float64 {
--- a/core/job/reserve.go
+++ b/core/job/reserve.go
@@ -50,7 +50,7 @@
 	var names []string
 	var all []*Worker
 	for _, w := range e.sortedWorkers {
-		if !e.eligible(w, s, now) || !w.health.isProven() || !remoteAllowed && s.step.DataRack != "" && w.Rack != s.step.DataRack {
+		if !e.eligible(w, s, now) || !s.acceptsSpeed(w) || !w.health.isProven() || !remoteAllowed && s.step.DataRack != "" && w.Rack != s.step.DataRack {
 			continue
 		}
 		if racks[w.Rack] == nil {
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -22,6 +22,7 @@
 	if !e.evacuation.current {
 		return
 	}
+	e.updateSpeeds()
 	queue := e.waitingStages(now)
 	clear(e.reserved)
 	e.reservationCount = 0
@@ -98,6 +99,7 @@
 	if unhealthy && !s.step.Gang {
 		tasks = tasks[:1] // a probe
 	}
+	e.limitSlowness(s, len(tasks), now)
 	c := e.candidates(s, now)
 	if s.step.Gang {
 		if chosen := e.fitGang(s, c, len(tasks), now); chosen != nil {
@@ -113,7 +115,7 @@
 		}
 	}
 	e.recordWaitReason(s, c, len(tasks), now)
-	if s.job.Priority == 0 && s.heldTasks == nil && !e.cfg.Policy.NoReclaim {
+	if s.job.Priority == 0 && s.heldTasks == nil && !s.waitsForSpeed && !e.cfg.Policy.NoReclaim {
 		e.reclaim(s, tasks, now)
 	}
 	if !e.cfg.Policy.NoReserve {
@@ -166,7 +168,7 @@
 func (e *Engine) candidates(s *stage, now time.Time) []candidate {
 	var c []candidate
 	for _, w := range e.sortedWorkers {
-		if !e.eligible(w, s, now) {
+		if !e.eligible(w, s, now) || !s.acceptsSpeed(w) {
 			continue
 		}
 		n := min(fitCount(e.freeFor(w, s, now), demand(s.step)), e.maxPerWorkerLeft(w, s))
