--- a/io/caller/catalog.go
+++ b/io/caller/catalog.go
@@ -43,7 +43,8 @@
 	// does not make the evacuated zones too old for tasks to be placed.
 	EvacuationLimit time.Duration
 
-	// Initial is in force until a configuration is read.
+	// Initial, if not nil, is in force from the start until a configuration is
+	// read.
 	Initial *job.Catalog
 }
 
@@ -65,7 +66,7 @@
 func WatchCatalog(cfg CatalogConfig) *Catalog {
 	cfg.PollWait = cmp.Or(cfg.PollWait, maxPollWait)
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Catalog{cfg: cfg, current: cfg.Initial, stop: cancel, done: make(chan struct{})}
+	c := &Catalog{cfg: cfg, current: cfg.Initial, confirmed: platform.BootTime(), stop: cancel, done: make(chan struct{})}
 	go c.run(ctx)
 	return c
 }
--- a/io/operator/cmd_check.go
+++ b/io/operator/cmd_check.go
@@ -129,7 +129,7 @@
 	}
 	_, _ = fmt.Fprintf(env.Stdout, "%s in %s at %s: peers %s, store %s\n", s.Node, s.Zone, s.Address, s.Peers, s.Store)
 	_, _ = fmt.Fprintf(env.Stdout, "  callers %s, readiness %s, agent %s, worker %s, advice %s\n", s.Callers, s.Readiness, s.Agent, s.Worker, s.Advice)
-	_, _ = fmt.Fprintf(env.Stdout, "  states kept for %s, revocation within %s, cancellation within %s, stop within %s, far work %gx, %d MiB\n",
-		s.Retention, caller.RevocationLimit(s.RevocationLimit, s.RevocationStrict), s.CancelLimit, s.TerminationGrace, s.RackFactor, s.MemoryBytes>>20)
+	_, _ = fmt.Fprintf(env.Stdout, "  states kept for %s, revocation within %s, cancellation within %s, evacuation within %s, stop within %s, far work %gx, %d MiB\n",
+		s.Retention, caller.RevocationLimit(s.RevocationLimit, s.RevocationStrict), s.CancelLimit, s.EvacuationLimit, s.TerminationGrace, s.RackFactor, s.MemoryBytes>>20)
 	return nil
 }
--- a/io/operator/cmd_local.go
+++ b/io/operator/cmd_local.go
@@ -65,6 +65,7 @@
 		}
 		defer l.kill()
 		_, _ = fmt.Fprintf(env.Stdout, "callers' address: http://%s\n", l.entry.web.addr)
+		_, _ = fmt.Fprintf(env.Stdout, "platform's address, for operators' settings: %s\n", l.store.addr)
 		_, _ = fmt.Fprintln(env.Stdout, l.curlRequest())
 		_, _ = fmt.Fprintln(env.Stdout, l.curlJob())
 		state, err := l.runSampleJob()
@@ -80,6 +81,7 @@
 // localSystem runs all parts of the system in one process.
 type localSystem struct {
 	platform  *platform.Standin
+	store     *webServer // serves platform to the operators' commands
 	entry     *entryProcess
 	agents    []*agentProcess
 	upstreams []*upstreamStandin
@@ -108,6 +110,9 @@
 	anyPort := loopbackAnyPort
 	key := []byte("bramleythread on loopback")
 	drain := config.DrainSettings{Limit: time.Second}
+	if l.store, err = serveHTTP(loopbackAnyPort, l.platform.Handler()); err != nil {
+		return err
+	}
 	l.entry, err = startEntry(&config.Settings{
 		Name: "local", Zone: "loopback", HTTP: addr, Control: anyPort, Advertise: anyPort, SharedKey: key, Drain: drain,
 	}, store, log)
@@ -233,4 +238,7 @@
 	if l.entry != nil {
 		l.entry.kill()
 	}
+	if l.store != nil {
+		_ = l.store.server.Close()
+	}
 }
--- a/io/operator/cmd_status.go
+++ b/io/operator/cmd_status.go
@@ -77,6 +77,7 @@
 	defer func() { _ = w.Flush() }()
 	_, _ = fmt.Fprintf(w, "scheduler %s, epoch %d, lease written %s ago, offered %t, %d jobs, %d stages wait\n",
 		p.Scheduler, p.Epoch, p.LeaseAge.Round(time.Millisecond), p.Offered, p.Jobs, p.Waiting)
+	printEvacuation(w, p)
 	_, _ = fmt.Fprintln(w, "NODE\tSERVICE\tZONE\tRACK\tSTATE\tHEARD\tACCELERATORS\tCORES\tRUNS\tEJECTED")
 	for _, x := range p.Workers {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d/%d\t%d/%d\t%d\t%s\n", x.Node, x.Service, x.Zone, x.Rack, x.State,
@@ -84,3 +85,15 @@
 			x.Runs, x.Ejected.Round(time.Millisecond))
 	}
 }
+
+// printEvacuation prints the evacuated zones and how current they are.
+func printEvacuation(w io.Writer, p wire.StatusAnswer) {
+	if !p.EvacuationRead {
+		_, _ = fmt.Fprintln(w, "evacuated zones have not been read yet")
+		return
+	}
+	_, _ = fmt.Fprintf(w, "%d zones evacuated, as known %s ago\n", len(p.EvacuatedZones), p.EvacuationAge.Round(time.Millisecond))
+	for _, z := range p.EvacuatedZones {
+		_, _ = fmt.Fprintf(w, "zone %s is evacuated, known for %s\n", z.Zone, z.KnownFor.Round(time.Millisecond))
+	}
+}
--- a/io/operator/command.go
+++ b/io/operator/command.go
@@ -124,6 +124,9 @@
 	return fs
 }
 
+// anyOperands makes parseFlags accept any number of operands.
+const anyOperands = -1
+
 // parseFlags parses the flags and checks the number of operands that follow
 // them.
 func parseFlags(env Env, fs *flag.FlagSet, args []string, operands int) error {
@@ -138,7 +141,7 @@
 		return err
 	case err != nil:
 		return &UsageError{Reason: err.Error()}
-	case fs.NArg() != operands:
+	case operands != anyOperands && fs.NArg() != operands:
 		return &UsageError{Reason: fmt.Sprintf("%s takes %d arguments, got %d", fs.Name(), operands, fs.NArg())}
 	default:
 		return nil
--- a/io/operator/local_jobs.go
+++ b/io/operator/local_jobs.go
@@ -25,12 +25,14 @@
 	localStopDelay       = 20 * time.Millisecond
 	localLeaseLimit      = 6 * time.Second
 	localRevocationLimit = 5 * time.Second
+	localEvacuationLimit = 5 * time.Second
 	announceInterval     = time.Second
 )
 
 // localJobs runs durable jobs in the local system.
 type localJobs struct {
 	api       *caller.JobAPI
+	catalog   *caller.Catalog
 	candidate *scheduler.Candidate
 	agents    []*worker.Agent
 	stop      chan struct{} // closed to stop the announcements
@@ -46,13 +48,17 @@
 	}
 	registry := prometheus.NewRegistry()
 	health := platform.NewHealth(store, log, registry)
-	catalog := caller.StaticCatalog(caller.CatalogFromConfig(cfg))
+	catalog := caller.WatchCatalog(caller.CatalogConfig{
+		Health: health, Store: health.MonitoredStore(), Log: log, Table: platform.EvacuationTable, Initial: caller.CatalogFromConfig(cfg),
+		EvacuatedZone: platform.EvacuatedZone, EvacuationLimit: localEvacuationLimit,
+		PollWait: caller.PollWait(localRevocationLimit, localEvacuationLimit),
+	})
 	metrics := scheduler.NewMetrics(registry)
-	l := &localJobs{stop: make(chan struct{}), done: make(chan struct{})}
+	l := &localJobs{catalog: catalog, stop: make(chan struct{}), done: make(chan struct{})}
 	l.candidate = scheduler.Start(scheduler.Config{
-		Node: "local", Address: addr, Store: health.MonitoredStore(), Log: log, Metrics: metrics, Guarantees: catalog.Guarantees,
+		Node: "local", Address: addr, Store: health.MonitoredStore(), Log: log, Metrics: metrics, Guarantees: catalog.Guarantees, Evacuation: catalog.Evacuation,
 		Engine: job.Config{
-			LeaseLimit: scheduler.WorkerLeaseExpiry, Retention: minRetention, RackFactor: 1, OnDecision: logDecision(log, metrics),
+			LeaseLimit: scheduler.WorkerLeaseExpiry, Retention: minRetention, RackFactor: 1, EvacuationLimit: localEvacuationLimit, OnDecision: logDecision(log, metrics),
 		},
 	}, control)
 	var standins []*worker.Standin
@@ -79,6 +85,7 @@
 		},
 	}
 	l.api.Register(mux)
+	l.api.Jobs.RegisterStatus(mux)
 	return l, nil
 }
 
@@ -106,4 +113,5 @@
 		a.Close()
 	}
 	l.candidate.Close()
+	l.catalog.Close()
 }
