Show forecasts, their outcome and the speeds of workers

An operator could not tell what run time a placement was based on, nor how fast the scheduler takes a worker to be.

Each placement keeps its forecast. The histogram bramleythread_forecast_error_ratio counts the time taken divided by that expected at the placement, for the runs that core/estimate learns from. Runs that an earlier scheduler placed have no forecast and are not counted.

Tests: go test ./core/job ./core/emulate ./io/scheduler ./io/caller ./io/operator, golangci-lint.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -39,6 +39,9 @@
 	Worker string
 	Reason string
 	Age    time.Duration // since the job was accepted
+
+	Expected estimate.Forecast // run time as forecast at the placement; zero if it is not known
+	Took     time.Duration     // run time of the whole work of a task that is done; 0 if it is not known
 }
 
 // Engine is the state of the scheduler. It is not safe for concurrent use.
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -123,7 +123,8 @@
 	stopCause    string
 	speedID      string // of the run in Engine.speeds
 	expected     keptForecast
-	irregular    bool // its progress tells nothing of its step or worker
+	placedFor    estimate.Forecast // at its placement; zero if an earlier scheduler placed it
+	irregular    bool              // its progress tells nothing of its step or worker
 }
 
 func (t *task) id() wire.TaskID {
--- a/core/job/learn.go
+++ b/core/job/learn.go
@@ -110,6 +110,32 @@
 	return r.expected.Forecast
 }
 
+// forecastPlacement returns the expected run time of the task on each of the chosen
+// workers, or of the gang on all of them.
+func (e *Engine) forecastPlacement(s *stage, chosen []*Worker) []estimate.Forecast {
+	forecasts := make([]estimate.Forecast, len(chosen))
+	if s.step.LongRunning {
+		return forecasts
+	}
+	ids := make([]string, len(chosen))
+	for i, w := range chosen {
+		ids[i] = w.speedKey()
+	}
+	for i := range chosen {
+		switch {
+		case e.cfg.Policy.NoSpeeds:
+			forecasts[i].Median = e.meanRunTime(s)
+		case !s.step.Gang:
+			forecasts[i] = e.speeds.Forecast(s.estimatedWork(), ids[i])
+		case i == 0:
+			forecasts[i] = e.speeds.Forecast(s.estimatedWork(), ids...)
+		default:
+			forecasts[i] = forecasts[0]
+		}
+	}
+	return forecasts
+}
+
 // keptForecast is a forecast and the version of Engine.speeds that it is of. A tick
 // uses most forecasts many times.
 type keptForecast struct {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -313,7 +313,7 @@
 	if how == wire.EndFailed {
 		e.recordWorkerFailure(r, now)
 	}
-	e.observeEnd(r, how, now)
+	took := e.observeEnd(r, how, now)
 	e.detachRun(r)
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
@@ -321,7 +321,7 @@
 			s.shareCheckpoint(checkpoint)
 		}
 	}
-	e.recordDecision(Decision{Kind: "run_end", Job: j.ID, Task: t.id(), Run: r.number, Worker: r.worker.Node, Reason: reason, Age: now.Sub(j.Accepted)})
+	e.recordDecision(Decision{Kind: "run_end", Job: j.ID, Task: t.id(), Run: r.number, Worker: r.worker.Node, Reason: reason, Age: now.Sub(j.Accepted), Expected: r.placedFor, Took: took})
 	e.markChanged(j) // the job's row names the worker, so it changes in any case
 	if j.state.Final() || t.done {
 		return
--- a/core/job/speed.go
+++ b/core/job/speed.go
@@ -81,29 +81,39 @@
 
 // observeEnd tells Engine.speeds how a run ended. The caller has not detached the run
 // yet. Runs that failed or stalled tell nothing; those that were stopped for another
-// reason count with what they have done.
-func (e *Engine) observeEnd(r *run, how wire.RunEnd, now time.Time) {
+// reason count with what they have done. It returns the time of the whole work if the
+// run has shown it.
+func (e *Engine) observeEnd(r *run, how wire.RunEnd, now time.Time) time.Duration {
 	switch {
 	case how == wire.EndFailed || r.stopCause == stalledCause || r.irregular:
 		e.discardObservation(r)
-		return
+		return 0
 	case how != wire.EndDone || r.task.done || !e.tellsOfSpeed(r):
 		e.speeds.End(r.speedKey())
-		return
+		return 0
 	}
 	members := r.members()
 	last := lastStarted(members)
 	if last == nil || !r.regular(members) {
 		e.discardObservation(r)
-		return
+		return 0
 	}
+	elapsed, share := now.Sub(last.startedAt), float64(completePercent-last.firstPercent)/completePercent
 	e.speeds.Observe(estimate.Observation{
 		Work: r.task.stage.estimatedWork(), Workers: speedIDs(members), Run: r.speedKey(),
-		Elapsed: now.Sub(last.startedAt), Share: float64(completePercent-last.firstPercent) / completePercent, Finished: true,
+		Elapsed: elapsed, Share: share, Finished: true,
 	})
 	e.speeds.End(r.speedKey()) // in case the observation was too short to count
+	if share < minTimedShare {
+		return 0
+	}
+	return time.Duration(float64(elapsed) / share)
 }
 
+// minTimedShare is the least share of its task's work from which a run tells how long
+// the whole work takes.
+const minTimedShare = 0.1
+
 func (e *Engine) discardObservation(r *run) { e.speeds.Discard(r.speedKey()) }
 
 // lastStarted returns the run that started last, or nil if not all have started.
--- a/core/job/speed_test.go
+++ b/core/job/speed_test.go
@@ -177,3 +177,35 @@
 		})
 	}
 }
+
+// TestForecastAndOutcomeAreShown guards against operators who cannot tell whether a run
+// takes longer than it was placed for.
+func TestForecastAndOutcomeAreShown(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	f.workers(2)
+	j := f.job("j", 1, gang(2, 8))
+	j.Steps[0].Estimate = 3 * time.Second
+	f.e.Submit(j, f.now)
+	f.tick()
+	f.workers(2)
+	f.progress(2*time.Second, f.now, []time.Duration{4 * time.Second, 4 * time.Second})
+	runs := f.e.Explain("j", f.now).Runs
+	is.Equal(len(runs), 2)
+	is.True(runs[0].Expected > time.Second && runs[0].Sigma > 0)
+	is.Equal(runs[0].Remaining, 2*time.Second)
+	f.progress(2*time.Second, f.now.Add(-2*time.Second), []time.Duration{4 * time.Second, 4 * time.Second})
+	for i := range 2 {
+		f.report(node(i), nil, map[wire.TaskID]wire.RunEnd{{Job: "j", Index: 0}: wire.EndDone, {Job: "j", Index: 1}: wire.EndDone})
+	}
+	var took []time.Duration
+	for _, d := range f.decisions {
+		if d.Took > 0 {
+			took = append(took, d.Took)
+			is.Equal(d.Expected.Median, runs[0].Expected)
+		}
+	}
+	is.Equal(took, []time.Duration{4 * time.Second}) // the gang counts once
+	status := f.e.Status(f.now).Workers[0]
+	is.True(status.SlownessSigma > 0 && status.SlownessSigma < 1)
+}
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -247,14 +247,16 @@
 	for _, t := range tasks {
 		lastRun = max(lastRun, t.lastRun)
 	}
+	forecasts := e.forecastPlacement(s, chosen)
 	for i, t := range tasks {
 		n := t.lastRun + 1
 		if s.step.Gang {
 			n = lastRun + 1
 		}
 		r := e.attachRun(t, chosen[i], n, now)
+		r.placedFor = forecasts[i]
 		r.worker.health.recordPlacement(r)
-		e.recordDecision(Decision{Kind: "place", Job: j.ID, Task: t.id(), Run: n, Worker: r.worker.Node, Reason: r.worker.Rack, Age: now.Sub(j.Accepted)})
+		e.recordDecision(Decision{Kind: "place", Job: j.ID, Task: t.id(), Run: n, Worker: r.worker.Node, Reason: r.worker.Rack, Age: now.Sub(j.Accepted), Expected: r.placedFor})
 	}
 	j.everPlaced = true
 	if e.unhealthyServices[j.Service] {
--- a/io/operator/cmd_explain.go
+++ b/io/operator/cmd_explain.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
+	"bramleythread/core/estimate"
 	"bramleythread/io/caller"
+	"bramleythread/io/wire"
 )
 
 var cmdExplain = &Command{
@@ -58,8 +61,25 @@
 	for _, s := range x.Stages {
 		_, _ = fmt.Fprintf(env.Stdout, "occurrence %d step %d: %d of %d tasks done, %d running %s\n", s.Occurrence, s.Step, s.Done, s.Tasks, s.Running, s.Waits)
 	}
+	for _, run := range x.Runs {
+		_, _ = fmt.Fprintln(env.Stdout, formatRun(run))
+	}
 	for _, d := range x.Decisions {
 		_, _ = fmt.Fprintln(env.Stdout, d)
 	}
 	return nil
 }
+
+// formatRun formats an active run, with the range in which its forecast expects 80 of
+// 100 run times.
+func formatRun(r wire.RunSummary) string {
+	s := fmt.Sprintf("occurrence %d step %d index %d run %d on %s: %d%% after %s", r.Occurrence, r.Step, r.Index, r.Run, r.Worker, r.Percent, r.Elapsed.Round(time.Millisecond))
+	if r.Expected > 0 {
+		f := estimate.Forecast{Median: r.Expected, Sigma: r.Sigma}
+		s += fmt.Sprintf(", placed for %s (%s to %s)", f.Median.Round(time.Millisecond), f.Quantile(0.1).Round(time.Millisecond), f.Quantile(0.9).Round(time.Millisecond))
+	}
+	if r.Remaining > 0 {
+		s += fmt.Sprintf(", %s left", r.Remaining.Round(time.Millisecond))
+	}
+	return s
+}
--- a/io/operator/cmd_status.go
+++ b/io/operator/cmd_status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"text/tabwriter"
 	"time"
@@ -77,10 +78,16 @@
 	defer func() { _ = w.Flush() }()
 	_, _ = fmt.Fprintf(w, "scheduler %s, epoch %d, lease written %s ago, offered %t, %d jobs, %d stages wait\n",
 		p.Scheduler, p.Epoch, p.LeaseAge.Round(time.Millisecond), p.Offered, p.Jobs, p.Waiting)
-	_, _ = fmt.Fprintln(w, "NODE\tSERVICE\tZONE\tRACK\tSTATE\tHEARD\tACCELERATORS\tCORES\tRUNS\tEJECTED")
+	_, _ = fmt.Fprintln(w, "NODE\tSERVICE\tZONE\tRACK\tSTATE\tHEARD\tACCELERATORS\tCORES\tRUNS\tEJECTED\tSLOWNESS")
 	for _, x := range p.Workers {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d/%d\t%d/%d\t%d\t%s\n", x.Node, x.Service, x.Zone, x.Rack, x.State,
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d/%d\t%d/%d\t%d\t%s\t%s\n", x.Node, x.Service, x.Zone, x.Rack, x.State,
 			x.Heard.Round(time.Millisecond), x.Used.Accelerators, x.Capacity.Accelerators, x.Used.CPU/1000, x.Capacity.CPU/1000,
-			x.Runs, x.Ejected.Round(time.Millisecond))
+			x.Runs, x.Ejected.Round(time.Millisecond), formatSlowness(x))
 	}
 }
+
+// formatSlowness formats the factor of a worker with its range of one standard
+// deviation.
+func formatSlowness(x wire.WorkerStatus) string {
+	return fmt.Sprintf("%.2f (%.2f-%.2f)", math.Exp(x.SlownessLog), math.Exp(x.SlownessLog-x.SlownessSigma), math.Exp(x.SlownessLog+x.SlownessSigma))
+}
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -223,7 +223,14 @@
 func logDecision(log zerolog.Logger, m *scheduler.Metrics) func(d job.Decision) {
 	return func(d job.Decision) {
 		m.ObserveDecision(d)
-		log.Info().Str("job", d.Job).Int("occurrence", d.Task.Occurrence).Int("step", d.Task.Step).Int("index", d.Task.Index).
+		line := log.Info()
+		if d.Expected.Median > 0 {
+			line.Dur("expected", d.Expected.Median).Float64("sigma", d.Expected.Sigma)
+		}
+		if d.Took > 0 {
+			line.Dur("took", d.Took)
+		}
+		line.Str("job", d.Job).Int("occurrence", d.Task.Occurrence).Int("step", d.Task.Step).Int("index", d.Task.Index).
 			Int("run", d.Run).Str("worker", d.Worker).Str("reason", d.Reason).Dur("age", d.Age).Msg(d.Kind)
 	}
 }
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"time"
 
 	"bramleythread/core/job"
@@ -14,6 +15,7 @@
 	rows      prometheus.Counter
 	decisions *prometheus.CounterVec
 	waits     prometheus.Histogram
+	forecasts prometheus.Histogram
 }
 
 // NewMetrics registers the scheduler's metrics.
@@ -37,8 +39,13 @@
 			Help:    "Age of a job when a task of it was placed for the first time.",
 			Buckets: prometheus.ExponentialBuckets(0.008, 2, 14),
 		}),
+		forecasts: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "bramleythread_forecast_error_ratio",
+			Help:    "Run time of done tasks divided by its forecast at their placement.",
+			Buckets: prometheus.ExponentialBuckets(0.125, math.Sqrt2, 13),
+		}),
 	}
-	r.MustRegister(m.commits, m.rows, m.decisions, m.waits)
+	r.MustRegister(m.commits, m.rows, m.decisions, m.waits, m.forecasts)
 	return m
 }
 
@@ -57,4 +64,7 @@
 	if d.Kind == "place" && d.Run == 1 {
 		m.waits.Observe(d.Age.Seconds())
 	}
+	if d.Took > 0 && d.Expected.Median > 0 {
+		m.forecasts.Observe(d.Took.Seconds() / d.Expected.Median.Seconds())
+	}
 }
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -13,7 +13,7 @@
 //msgp:shim WorkerState as:string using:string/WorkerState
 //msgp:shim RunEnd as:string using:string/RunEnd
 //msgp:shim SubmitOutcome as:string using:string/SubmitOutcome
-//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask WorkerSlowness EndedRun RefusedRun SharedTask OccurrenceRange
+//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun SharedTask OccurrenceRange
 
 // JobState is the state of a job, as reported to callers.
 type JobState string
@@ -231,15 +231,6 @@
 	Slowness *WorkerSlowness `msg:"slowness,omitempty"` // from the latest orders that held one
 }
 
-// WorkerSlowness is what a scheduler knows of a worker's speed. The agent keeps it for
-// the next scheduler. Log and Sigma are those of estimate.Slowness.
-type WorkerSlowness struct {
-	Model int // version of the model that it belongs to
-	Born  int64
-	Log   float64
-	Sigma float64
-}
-
 // StartTask orders the start of a run. Ticket comes from the advice service.
 type StartTask struct {
 	Task       TaskID `msg:"task"`
@@ -355,6 +346,7 @@
 	Customer  string         `msg:"customer"`
 	Age       time.Duration  `msg:"age"`
 	Stages    []StageSummary `msg:"stages"`
+	Runs      []RunSummary   `msg:"runs"`
 	Decisions []string       `msg:"decisions"` // the latest ones, oldest first
 }
 
@@ -395,6 +387,11 @@
 	Used     Resources     `msg:"used"`
 	Runs     int           `msg:"runs"`
 	Ejected  time.Duration `msg:"ejected"` // time for which it gets no more work; 0 if not ejected
+
+	// Logarithm of the factor by which its runs take longer than those of the median
+	// worker, and the standard deviation of that.
+	SlownessLog   float64 `msg:"slowness"`
+	SlownessSigma float64 `msg:"slowness_sigma"`
 }
 
 // LeaseTaken informs a former scheduler of the new holder of its lease. The store
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -83,9 +83,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ExplainAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "known"
-	o = append(o, 0x89, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
+	o = append(o, 0x8a, 0xa5, 0x6b, 0x6e, 0x6f, 0x77, 0x6e)
 	o = msgp.AppendBool(o, z.Known)
 	// string "scheduler"
 	o = append(o, 0xa9, 0x73, 0x63, 0x68, 0x65, 0x64, 0x75, 0x6c, 0x65, 0x72)
@@ -115,11 +115,21 @@
 			return
 		}
 	}
+	// string "runs"
+	o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Runs)))
+	for za0002 := range z.Runs {
+		o, err = z.Runs[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Runs", za0002)
+			return
+		}
+	}
 	// string "decisions"
 	o = append(o, 0xa9, 0x64, 0x65, 0x63, 0x69, 0x73, 0x69, 0x6f, 0x6e, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Decisions)))
-	for za0002 := range z.Decisions {
-		o = msgp.AppendString(o, z.Decisions[za0002])
+	for za0003 := range z.Decisions {
+		o = msgp.AppendString(o, z.Decisions[za0003])
 	}
 	return
 }
@@ -215,26 +225,49 @@
 					return
 				}
 			}
-		case "decisions":
+		case "runs":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Decisions")
+				err = msgp.WrapError(err, "Runs")
 				return
 			}
 			if zb0004 > zbb7e218elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Decisions) >= int(zb0004) {
-				z.Decisions = (z.Decisions)[:zb0004]
+			if cap(z.Runs) >= int(zb0004) {
+				z.Runs = (z.Runs)[:zb0004]
 			} else {
-				z.Decisions = make([]string, zb0004)
+				z.Runs = make([]RunSummary, zb0004)
 			}
-			for za0002 := range z.Decisions {
-				z.Decisions[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.Runs {
+				bts, err = z.Runs[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Decisions", za0002)
+					err = msgp.WrapError(err, "Runs", za0002)
+					return
+				}
+			}
+		case "decisions":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Decisions")
+				return
+			}
+			if zb0005 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Decisions) >= int(zb0005) {
+				z.Decisions = (z.Decisions)[:zb0005]
+			} else {
+				z.Decisions = make([]string, zb0005)
+			}
+			for za0003 := range z.Decisions {
+				z.Decisions[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Decisions", za0003)
 					return
 				}
 			}
@@ -256,9 +289,13 @@
 	for za0001 := range z.Stages {
 		s += z.Stages[za0001].Msgsize()
 	}
+	s += 5 + msgp.ArrayHeaderSize
+	for za0002 := range z.Runs {
+		s += z.Runs[za0002].Msgsize()
+	}
 	s += 10 + msgp.ArrayHeaderSize
-	for za0002 := range z.Decisions {
-		s += msgp.StringPrefixSize + len(z.Decisions[za0002])
+	for za0003 := range z.Decisions {
+		s += msgp.StringPrefixSize + len(z.Decisions[za0003])
 	}
 	return
 }
@@ -3629,60 +3666,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *WorkerSlowness) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
-	o = msgp.AppendInt(o, z.Model)
-	o = msgp.AppendInt64(o, z.Born)
-	o = msgp.AppendFloat64(o, z.Log)
-	o = msgp.AppendFloat64(o, z.Sigma)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *WorkerSlowness) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.Model, bts, err = msgp.ReadIntBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Model")
-		return
-	}
-	z.Born, bts, err = msgp.ReadInt64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Born")
-		return
-	}
-	z.Log, bts, err = msgp.ReadFloat64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Log")
-		return
-	}
-	z.Sigma, bts, err = msgp.ReadFloat64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Sigma")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *WorkerSlowness) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.Int64Size + msgp.Float64Size + msgp.Float64Size
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z WorkerState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -3714,9 +3697,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WorkerStatus) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 13
 	// string "node"
-	o = append(o, 0x8b, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
+	o = append(o, 0x8d, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
 	o = msgp.AppendString(o, z.Node)
 	// string "instance"
 	o = append(o, 0xa8, 0x69, 0x6e, 0x73, 0x74, 0x61, 0x6e, 0x63, 0x65)
@@ -3756,6 +3739,12 @@
 	// string "ejected"
 	o = append(o, 0xa7, 0x65, 0x6a, 0x65, 0x63, 0x74, 0x65, 0x64)
 	o = msgp.AppendDuration(o, z.Ejected)
+	// string "slowness"
+	o = append(o, 0xa8, 0x73, 0x6c, 0x6f, 0x77, 0x6e, 0x65, 0x73, 0x73)
+	o = msgp.AppendFloat64(o, z.SlownessLog)
+	// string "slowness_sigma"
+	o = append(o, 0xae, 0x73, 0x6c, 0x6f, 0x77, 0x6e, 0x65, 0x73, 0x73, 0x5f, 0x73, 0x69, 0x67, 0x6d, 0x61)
+	o = msgp.AppendFloat64(o, z.SlownessSigma)
 	return
 }
 
@@ -3891,6 +3880,18 @@
 				err = msgp.WrapError(err, "Ejected")
 				return
 			}
+		case "slowness":
+			z.SlownessLog, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SlownessLog")
+				return
+			}
+		case "slowness_sigma":
+			z.SlownessSigma, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SlownessSigma")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3905,6 +3906,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerStatus) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.StringPrefixSize + len(z.Instance) + 8 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.StringPrefixSize + len(z.Zone) + 5 + msgp.StringPrefixSize + len(z.Rack) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.DurationSize + 9 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 5 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.DurationSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Node) + 9 + msgp.StringPrefixSize + len(z.Instance) + 8 + msgp.StringPrefixSize + len(z.Service) + 5 + msgp.StringPrefixSize + len(z.Zone) + 5 + msgp.StringPrefixSize + len(z.Rack) + 6 + msgp.StringPrefixSize + len(string(z.State)) + 6 + msgp.DurationSize + 9 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 5 + 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + 5 + msgp.IntSize + 8 + msgp.DurationSize + 9 + msgp.Float64Size + 15 + msgp.Float64Size
 	return
 }
