Turn a start that is no longer ordered into a stop

Callers could have a task run twice at the same time, the first run being stopped one report after its start.

Cause: an agent repeats a start call until the worker answers. It did so by the newest permission even when the orders that came with it no longer listed the run. After a suspension of the agent that outlasts the scheduler's wait for its lease (11 s), the run has been ended and the task started elsewhere, and a call that was in progress before the suspension is repeated after it.

TestStartNotRepeatedAfterPermissionLapsed shows it in the real agent: the start was called twice before this change. Ruled out as causes: orders of an earlier connection (their token is ignored), start calls carried out late (fenced, or later than their lease), and a list that was read before a start; TestLateStart and TestListReadBeforeStart hold before and after.

Change: in applyOrders, a start in progress that the current orders do not list becomes a stop. Orders hold all starts and arrive with the permission, so none can be used without the other.

go test ./io/worker passes.

--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -227,7 +227,9 @@
 }
 
 // applyOrders carries out the current orders if they are for the worker's
-// current lifetime.
+// current lifetime. A start in progress that they do not list becomes a stop: the
+// scheduler has ended the run, and a start call must not be repeated by the
+// permission that came with these orders.
 func (a *Agent) applyOrders() {
 	o := &a.orders
 	if !a.polled || o.Instance != a.info.Instance || o.Born != a.info.Born {
@@ -243,6 +245,11 @@
 		listed[r] = true
 		a.applyStop(r)
 	}
+	for r, p := range a.pending {
+		if _, present := a.running[r]; !listed[r] && !present && !p.stop {
+			p.stop, p.reason = true, "not_ordered"
+		}
+	}
 	for r := range a.refused {
 		if !listed[r] {
 			delete(a.refused, r)
