Emulate workers of unequal speed and bursts of one customer

The emulator had equal workers, tasks drawn independently of their job and estimates unrelated to it, so that neither learned speeds nor shares could be measured. Scenarios gain slowness, task_sigma, estimate_sigma, restore_time, stop_loses_progress, task_millicores, and the customer of a surge. A gang runs at the pace of its slowest worker, its members have equal work; with estimate_sigma an estimate is off from the job's own run time. Objectives use the work at factor 1.

--- a/core/emulate/load.go
+++ b/core/emulate/load.go
@@ -66,6 +66,19 @@
 	return list
 }
 
+func (r *sectionReader) floats(key string) []float64 {
+	var list []float64
+	for _, text := range r.section.Key(key).Strings(",") {
+		v, err := strconv.ParseFloat(text, 64)
+		if err == nil && !(v > 0) {
+			err = eris.Errorf("%s is not above 0", text)
+		}
+		r.recordError(key, err)
+		list = append(list, v)
+	}
+	return list
+}
+
 // Load reads a scenario from an INI file.
 func Load(path string) (*Scenario, error) {
 	f, err := ini.Load(path)
@@ -84,7 +97,10 @@
 		case "customer":
 			s.GuaranteedAccelerators[name] = r.int("guaranteed")
 		case "surge":
-			s.Surges = append(s.Surges, Surge{Kind: section.Key("kind").String(), At: r.duration("at"), Duration: r.duration("for"), Factor: r.float("factor")})
+			s.Surges = append(s.Surges, Surge{
+				Kind: section.Key("kind").String(), Customer: section.Key("customer").String(),
+				At: r.duration("at"), Duration: r.duration("for"), Factor: r.float("factor"),
+			})
 		case "fault":
 			s.Faults = append(s.Faults, Fault{Kind: FaultKind(section.Key("kind").String()), At: r.duration("at"), Duration: r.duration("for"), Count: r.int("count")})
 		}
@@ -102,6 +118,8 @@
 	s.Name, s.TrafficDuration = r.section.Key("name").String(), r.duration("length")
 	s.Workers, s.WorkersPerRack = r.int("workers"), r.int("rack")
 	s.WorkerCapacity = wire.Resources{CPU: r.int("cpu_millicores"), Memory: r.int("memory_mib"), Accelerators: r.int("accelerators")}
+	s.Slowness, s.RestoreTime = r.floats("slowness"), r.duration("restore_time")
+	s.StopLosesProgress = r.section.Key("stop_loses_progress").MustBool(false)
 	s.StoreDelay, s.LinkDelay = r.duration("store_delay"), r.duration("link_delay")
 	s.StopDelay, s.CheckpointInterval, s.RackFactor = r.duration("stop_time"), r.duration("checkpoint_every"), r.float("rack_factor")
 }
@@ -109,8 +127,8 @@
 func readKind(name string, r *sectionReader) RequestKind {
 	return RequestKind{
 		Name: name, Priority: r.int("priority"), RequestRate: r.float("per_second"), MeanTasks: r.float("tasks"), MaxTasks: r.int("max_tasks"),
-		MeanWork: r.duration("work"), WorkSigma: r.float("spread"), TailShare: r.float("tail"), TailFactor: r.float("tail_factor"),
-		Accelerators: r.ints("accelerators"), CPUPerAccelerator: r.int("cpu_millicores"), GangShare: r.float("gang"), SameRackShare: r.float("same_rack"),
+		MeanWork: r.duration("work"), WorkSigma: r.float("spread"), TaskSigma: r.float("task_sigma"), EstimateSigma: r.float("estimate_sigma"), TailShare: r.float("tail"), TailFactor: r.float("tail_factor"),
+		Accelerators: r.ints("accelerators"), CPUPerAccelerator: r.int("cpu_millicores"), CPUPerTask: r.int("task_millicores"), GangShare: r.float("gang"), SameRackShare: r.float("same_rack"),
 		CheckpointShare: r.float("checkpoints"), FailureShare: r.float("fails"), ImpossibleShare: r.float("hopeless"), CancelledShare: r.float("cancelled"),
 		Attempts: r.int("attempts"), Stretch: r.float("stretch"), Objective: r.duration("objective"),
 		Value: r.float("worth"), LateValue: r.float("late_worth"),
--- a/core/emulate/machine.go
+++ b/core/emulate/machine.go
@@ -15,8 +15,9 @@
 	sim           *simulation
 	node          string
 	rack          string
-	born          int64  // identifies the lifetime of the worker, incremented by a restart
-	sequence      uint64 // of the latest report
+	slowness      float64 // factor of the run time
+	born          int64   // identifies the lifetime of the worker, incremented by a restart
+	sequence      uint64  // of the latest report
 	runs          map[wire.TaskID]*run
 	unackedEnds   []wire.EndedRun // ended runs that the scheduler has not acknowledged
 	lastEndNumber int
@@ -39,11 +40,17 @@
 	rate        float64 // share of the work done per second
 	rateVersion int     // incremented at each rate change, to detect stale events
 	startedAt   time.Duration
+	slowness    float64 // of the slowest worker of its gang
+	restoring   bool    // loads its checkpoint, makes no progress
 	stopping    bool
 }
 
 func newMachine(sim *simulation, i int) *machine {
-	return &machine{sim: sim, node: fmt.Sprintf("worker-%03d", i), rack: fmt.Sprintf("rack-%02d", i/sim.scenario.WorkersPerRack), born: 1, runs: make(map[wire.TaskID]*run)}
+	slowness := 1.0
+	if list := sim.scenario.Slowness; len(list) > 0 {
+		slowness = list[i%len(list)]
+	}
+	return &machine{sim: sim, slowness: slowness, node: fmt.Sprintf("worker-%03d", i), rack: fmt.Sprintf("rack-%02d", i/sim.scenario.WorkersPerRack), born: 1, runs: make(map[wire.TaskID]*run)}
 }
 
 // free returns the number of unused accelerators.
@@ -70,6 +77,9 @@
 	for _, s := range o.Stops {
 		if r := m.runs[s.Task]; r != nil && r.number == s.Run && !r.stopping {
 			r.stopping = true
+			if m.sim.scenario.StopLosesProgress {
+				m.setRate(r)
+			}
 			m.sim.after(m.sim.scenario.StopDelay, func() { m.stopRun(r) })
 		}
 	}
@@ -77,11 +87,20 @@
 }
 
 func (m *machine) startRun(s wire.StartTask) {
-	r := &run{id: s.Task, number: s.Run, request: m.sim.requests[s.Task.Job], updatedAt: m.sim.now, startedAt: m.sim.now}
+	r := &run{id: s.Task, number: s.Run, request: m.sim.requests[s.Task.Job], updatedAt: m.sim.now, startedAt: m.sim.now, slowness: m.slowness}
 	if share, err := strconv.ParseFloat(s.Checkpoint, 64); err == nil {
 		r.savedShare, r.doneShare = share, share
 	}
 	m.runs[s.Task] = r
+	if d := m.sim.scenario.RestoreTime; d > 0 && r.savedShare > 0 {
+		r.restoring = true
+		m.sim.after(d, func() {
+			r.restoring = false
+			if m.runs[r.id] == r {
+				m.sim.forEachGangMember(r, func(m *machine, r *run) { m.setRate(r) })
+			}
+		})
+	}
 	if m.rejecting {
 		m.sim.after(rejectDelay, func() {
 			if m.runs[r.id] == r {
@@ -131,15 +150,18 @@
 func (m *machine) rate(r *run) float64 {
 	racks := make(map[string]bool)
 	present, hang, slow := 0, false, false
-	m.sim.forEachGangMember(r, func(other *machine, _ *run) {
+	r.slowness = m.slowness
+	m.sim.forEachGangMember(r, func(other *machine, member *run) {
 		racks[other.rack] = true
 		present++
-		hang, slow = hang || other.hanging, slow || other.slow
+		hang, slow = hang || other.hanging || member.restoring, slow || other.slow
+		hang = hang || member.stopping && m.sim.scenario.StopLosesProgress
+		r.slowness = max(r.slowness, other.slowness)
 	})
 	if hang || r.step().Gang && present < r.step().Count {
 		return 0
 	}
-	rate := 1 / r.request.work[r.id.Step][r.id.Index].Seconds()
+	rate := 1 / r.fullTime().Seconds()
 	if r.step().SameRack && len(racks) > 1 {
 		rate /= m.sim.scenario.RackFactor
 	}
@@ -149,6 +171,11 @@
 	return rate
 }
 
+// fullTime returns the run time of the whole task at the pace of the run's workers.
+func (r *run) fullTime() time.Duration {
+	return time.Duration(float64(r.request.work[r.id.Step][r.id.Index]) * r.slowness)
+}
+
 // finishRun ends a run whose work is complete, as done or, if a failure is due,
 // as failed.
 func (m *machine) finishRun(r *run) {
@@ -189,11 +216,14 @@
 	m.sim.totalWork += work
 	if end != wire.EndDone {
 		if r.step().Checkpoints && end != wire.EndFailed {
-			e.Checkpoint = strconv.FormatFloat(r.doneShare, 'f', 4, 64)
+			e.Checkpoint = strconv.FormatFloat(m.shareKept(r), 'f', 4, 64)
 		} else {
 			m.sim.wastedWork += work
 		}
 	}
+	if r.step().Checkpoints && end != wire.EndFailed {
+		m.sim.wastedWork += m.unproductiveTime(r, end).Seconds() * cores
+	}
 	m.unackedEnds = append(m.unackedEnds, e)
 	m.report()
 	if end == wire.EndDone || !r.step().Gang {
@@ -206,6 +236,29 @@
 	})
 }
 
+// shareKept returns the share of the work that the checkpoint of a run holds after
+// a stop.
+func (m *machine) shareKept(r *run) float64 {
+	if m.sim.scenario.StopLosesProgress {
+		return m.checkpointedShare(r, r.doneShare)
+	}
+	return r.doneShare
+}
+
+// unproductiveTime returns the time of a run with checkpoints that its task has to
+// spend again: the restore and, if it was stopped, what the checkpoint lacks.
+func (m *machine) unproductiveTime(r *run, end wire.RunEnd) time.Duration {
+	switch {
+	case end != wire.EndDone && m.sim.scenario.StopLosesProgress:
+		kept := time.Duration((m.shareKept(r) - r.savedShare) * float64(r.fullTime()))
+		return max(m.sim.now-r.startedAt-kept, 0)
+	case r.savedShare > 0:
+		return min(m.sim.scenario.RestoreTime, m.sim.now-r.startedAt)
+	default:
+		return 0
+	}
+}
+
 // report sends the running and ended runs to the scheduler.
 func (m *machine) report() {
 	if m.down {
@@ -238,7 +291,7 @@
 // checkpointedShare returns the share of the work that the latest checkpoint
 // holds.
 func (m *machine) checkpointedShare(r *run, doneShare float64) float64 {
-	interval := m.sim.scenario.CheckpointInterval.Seconds() / r.request.work[r.id.Step][r.id.Index].Seconds()
+	interval := m.sim.scenario.CheckpointInterval.Seconds() / r.fullTime().Seconds()
 	return max(r.savedShare, doneShare-mod(doneShare, interval))
 }
 
--- a/core/emulate/measure.go
+++ b/core/emulate/measure.go
@@ -24,6 +24,10 @@
 	ShareByCustomer        map[string]float64 // earned share of the value
 	WastedShare            float64            // share of the work that was lost
 	IdleAcceleratorSeconds float64            // accelerators idle while jobs waited
+	UndisturbedShare       float64            // earned share of the value of the customers that no surge names
+	UrgentLateShare        float64            // share of the urgent jobs that do not complete within their objective
+	MeanCompletion         time.Duration      // mean time from submission to the end; an open job counts up to the end of the simulation
+	WastedCoreSeconds      float64            // work that was lost; an accelerator counts as eight cores
 	UrgentP95              time.Duration      // 95th percentile of the time from submission to the end of urgent jobs
 	FailedJobs             int                // failed jobs that could have succeeded
 	OpenJobs               int                // jobs that have not ended
@@ -55,6 +59,19 @@
 
 func (t *tally) share() float64 { return t.earned / max(t.offered, 1e-9) }
 
+// lateness counts the urgent jobs and those of them that are late.
+type lateness struct{ jobs, late int }
+
+func (l *lateness) add(r *simRequest, now time.Duration) {
+	if r.kind.Priority != 0 {
+		return
+	}
+	l.jobs++
+	if r.state != wire.JobCompleted || r.completionTime(now) > r.objective() {
+		l.late++
+	}
+}
+
 // earnedValue returns the value of the job to its caller: the full value within
 // the objective, the late value up to maxLateFactor times the objective.
 func (r *simRequest) earnedValue() float64 {
@@ -71,12 +88,23 @@
 	}
 }
 
+// completionTime returns the time from the submission of the job to its end, or to
+// now if it is open.
+func (r *simRequest) completionTime(now time.Duration) time.Duration {
+	if r.state.Final() {
+		return r.endedAt - r.submittedAt
+	}
+	return now - r.submittedAt
+}
+
 func (sim *simulation) measure(requests []*simRequest) *Outcome {
 	o := &Outcome{
 		ShareByKind: make(map[string]float64), LargestTenthRatio: make(map[string]float64), ShareByCustomer: make(map[string]float64),
 		EarnedPerSecond: make([]float64, int((sim.scenario.TrafficDuration+drainTime)/time.Second)+1), IdleAcceleratorSeconds: sim.idleAcceleratorSeconds, WastedShare: sim.wastedWork / max(sim.totalWork, 1e-9),
 	}
-	var all, surge tally
+	var all, surge, undisturbed tally
+	surging := sim.scenario.surgingCustomers()
+	var urgentJobs lateness
 	kinds, customers := make(map[string]*tally), make(map[string]*tally)
 	byKind := make(map[string][]*simRequest)
 	var urgent []time.Duration
@@ -85,6 +113,11 @@
 			continue
 		}
 		all.add(r)
+		if !surging[r.job.Customer] {
+			undisturbed.add(r)
+		}
+		o.MeanCompletion += r.completionTime(sim.now)
+		urgentJobs.add(r, sim.now)
 		if sim.scenario.surgeFactor(r.kind.Name, r.submittedAt) > 1 {
 			surge.add(r)
 		}
@@ -105,6 +138,9 @@
 		}
 	}
 	o.Jobs, o.OfferedValue, o.EarnedValue, o.SurgeShare = int(all.jobs), all.offered, all.earned, surge.share()
+	o.UndisturbedShare, o.WastedCoreSeconds = undisturbed.share(), sim.wastedWork
+	o.UrgentLateShare = float64(urgentJobs.late) / float64(max(urgentJobs.jobs, 1))
+	o.MeanCompletion /= time.Duration(max(o.Jobs, 1))
 	for name, t := range kinds {
 		o.ShareByKind[name] = t.share()
 		o.LargestTenthRatio[name] = largestTenthServed(byKind[name]) / max(t.served/t.jobs, 1e-9)
--- a/core/emulate/scenario.go
+++ b/core/emulate/scenario.go
@@ -20,6 +20,10 @@
 	WorkersPerRack  int
 	WorkerCapacity  wire.Resources
 
+	// Slowness lists factors of the run time, which are assigned to the workers in
+	// turn. Without them, all workers have the factor 1.
+	Slowness []float64
+
 	GuaranteedAccelerators map[string]int // by customer
 	Kinds                  []RequestKind
 	Surges                 []Surge
@@ -28,8 +32,15 @@
 	StoreDelay         time.Duration // duration of a store transaction
 	LinkDelay          time.Duration // one-way delay between scheduler and agents
 	StopDelay          time.Duration // time that stopping a run takes
+	RestoreTime        time.Duration // time for which a run that resumes from a checkpoint makes no progress
 	CheckpointInterval time.Duration
-	RackFactor         float64 // slowdown of a same-rack gang that spans several racks
+
+	// StopLosesProgress makes a run that is being stopped end without progress
+	// since its latest checkpoint. Otherwise it works until the stop is complete
+	// and saves all its progress.
+	StopLosesProgress bool
+
+	RackFactor float64 // slowdown of a same-rack gang that spans several racks
 }
 
 // RequestKind describes the requests of one kind.
@@ -41,10 +52,13 @@
 	MaxTasks          int
 	MeanWork          time.Duration // mean run time of a task on a healthy worker
 	WorkSigma         float64       // standard deviation of the logarithm of the run time
+	TaskSigma         float64       // the same within one job; WorkSigma is then that between jobs. 0: tasks are drawn independently
+	EstimateSigma     float64       // standard deviation of the logarithm of estimate / run time; 0: the estimate is unrelated to the job's work
 	TailShare         float64       // share of tasks that take TailFactor times as long
 	TailFactor        float64
 	Accelerators      []int   // accelerators per task, drawn uniformly from this list
 	CPUPerAccelerator int     // millicores
+	CPUPerTask        int     // millicores, in place of CPUPerAccelerator
 	GangShare         float64 // share of the jobs with several tasks that are gangs
 	SameRackShare     float64 // share of the gangs that ask for a single rack
 	CheckpointShare   float64 // share of jobs whose tasks save checkpoints
@@ -59,9 +73,10 @@
 }
 
 // Surge multiplies the request rate of a kind for an interval. An empty kind
-// means all kinds.
+// means all kinds. With a customer, all additional requests are of that customer.
 type Surge struct {
 	Kind     string
+	Customer string
 	At       time.Duration
 	Duration time.Duration
 	Factor   float64
@@ -136,7 +151,9 @@
 			if at >= s.TrafficDuration {
 				break
 			}
-			kindRequests = append(kindRequests, k.generateRequest(random, at, customers[random.IntN(len(customers))], len(requests)+len(kindRequests)))
+			customer := customers[random.IntN(len(customers))]
+			customer = s.surgeCustomer(random, k.Name, at, customer)
+			kindRequests = append(kindRequests, k.generateRequest(random, at, customer, len(requests)+len(kindRequests)))
 		}
 		assignValues(kindRequests)
 		requests = append(requests, kindRequests...)
@@ -148,13 +165,39 @@
 func (s *Scenario) surgeFactor(kind string, at time.Duration) float64 {
 	factor := 1.0
 	for _, surge := range s.Surges {
-		if (surge.Kind == "" || surge.Kind == kind) && at >= surge.At && at < surge.At+surge.Duration {
+		if surge.covers(kind, at) {
 			factor *= surge.Factor
 		}
 	}
 	return factor
 }
 
+func (g *Surge) covers(kind string, at time.Duration) bool {
+	return (g.Kind == "" || g.Kind == kind) && at >= g.At && at < g.At+g.Duration
+}
+
+// surgeCustomer returns the customer of a request: that of a surge for the share of
+// the requests that the surge adds, customer for the others.
+func (s *Scenario) surgeCustomer(random *rand.Rand, kind string, at time.Duration, customer string) string {
+	for _, surge := range s.Surges {
+		if surge.Customer != "" && surge.covers(kind, at) && random.Float64() < 1-1/max(surge.Factor, 1) {
+			return surge.Customer
+		}
+	}
+	return customer
+}
+
+// surgingCustomers returns the customers that surges name.
+func (s *Scenario) surgingCustomers() map[string]bool {
+	names := make(map[string]bool)
+	for _, surge := range s.Surges {
+		if surge.Customer != "" {
+			names[surge.Customer] = true
+		}
+	}
+	return names
+}
+
 func (s *Scenario) customers() []string {
 	names := sortedKeys(s.GuaranteedAccelerators)
 	if len(names) == 0 {
@@ -168,7 +211,7 @@
 	accelerators := k.Accelerators[random.IntN(len(k.Accelerators))]
 	step := wire.JobStep{
 		Count:       tasks,
-		Demand:      wire.Resources{CPU: k.CPUPerAccelerator * accelerators, Memory: 1024, Accelerators: accelerators},
+		Demand:      wire.Resources{CPU: k.cpu(accelerators), Memory: 1024, Accelerators: accelerators},
 		Estimate:    time.Duration(float64(k.MeanWork) * math.Exp(0.9*random.NormFloat64())),
 		Gang:        tasks > 1 && random.Float64() < k.GangShare,
 		Checkpoints: random.Float64() < k.CheckpointShare,
@@ -176,11 +219,14 @@
 	step.SameRack = step.Gang && random.Float64() < k.SameRackShare
 	r := &simRequest{kind: k, submittedAt: at, impossible: random.Float64() < k.ImpossibleShare, state: wire.JobQueued}
 	r.work, r.failuresLeft = make([][]time.Duration, 1), make([][]int, 1)
-	for range tasks {
-		work := k.drawTaskWork(random)
-		if step.Gang && len(r.work[0]) > 0 {
-			work = r.work[0][0] // the members of a gang have equal run times
+	level := k.drawLevel(random)
+	ordinary := 0.0 // mean run time of the tasks without the tail
+	for i := range tasks {
+		work, base := k.drawTaskWork(random, level)
+		if step.Gang && i > 0 {
+			work, base = r.work[0][0], ordinary // the members of a gang have equal run times
 		}
+		ordinary += (base - ordinary) / float64(i+1)
 		failures := 0
 		for failures < k.Attempts-1 && random.Float64() < k.FailureShare {
 			failures++
@@ -191,6 +237,9 @@
 		r.work[0], r.failuresLeft[0] = append(r.work[0], work), append(r.failuresLeft[0], failures)
 		r.criticalPath = max(r.criticalPath, time.Duration(1+min(failures, k.Attempts-1))*work)
 	}
+	if k.EstimateSigma > 0 {
+		step.Estimate = time.Duration(ordinary * math.Exp(k.EstimateSigma*random.NormFloat64()))
+	}
 	if random.Float64() < k.CancelledShare {
 		r.cancelAfter = time.Duration(random.Float64() * float64(r.criticalPath))
 	}
@@ -201,12 +250,38 @@
 	return r
 }
 
-func (k *RequestKind) drawTaskWork(random *rand.Rand) time.Duration {
-	work := float64(k.MeanWork) * math.Exp(k.WorkSigma*random.NormFloat64()-k.WorkSigma*k.WorkSigma/2)
+func (k *RequestKind) cpu(accelerators int) int {
+	if k.CPUPerTask > 0 {
+		return k.CPUPerTask
+	}
+	return k.CPUPerAccelerator * accelerators
+}
+
+// drawLevel draws the mean run time of the tasks of a job in nanoseconds.
+func (k *RequestKind) drawLevel(random *rand.Rand) float64 {
+	if k.TaskSigma == 0 {
+		return float64(k.MeanWork)
+	}
+	return float64(k.MeanWork) * drawFactor(random, k.WorkSigma)
+}
+
+// drawTaskWork draws the run time of a task of a job with the given level, and the
+// same in nanoseconds without the tail of the distribution.
+func (k *RequestKind) drawTaskWork(random *rand.Rand, level float64) (work time.Duration, base float64) {
+	sigma := k.WorkSigma
+	if k.TaskSigma > 0 {
+		sigma = k.TaskSigma
+	}
+	base = level * drawFactor(random, sigma)
 	if random.Float64() < k.TailShare {
-		work *= k.TailFactor
+		return time.Duration(base * k.TailFactor), base
 	}
-	return time.Duration(work)
+	return time.Duration(base), base
+}
+
+// drawFactor draws a log-normal factor with the mean 1.
+func drawFactor(random *rand.Rand, sigma float64) float64 {
+	return math.Exp(sigma*random.NormFloat64() - sigma*sigma/2)
 }
 
 // assignValues sets the values of the jobs of a kind. Larger jobs have a higher
--- a/core/emulate/simulation.go
+++ b/core/emulate/simulation.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bramleythread/core/job"
+	"bramleythread/io/wire"
 )
 
 // Delays and limits of the processes around the engine, as in the real system.
@@ -67,9 +68,11 @@
 
 func newSimulation(s *Scenario, policy job.Policy) *simulation {
 	sim := &simulation{scenario: s, requests: make(map[string]*simRequest), machineByNode: make(map[string]*machine)}
-	sim.engine = job.New(job.Config{
-		LeaseLimit: leaseLimit, Retention: time.Hour, RackFactor: s.RackFactor, Policy: policy,
-	}, startTime)
+	cfg := job.Config{LeaseLimit: leaseLimit, Retention: time.Hour, RackFactor: s.RackFactor, Policy: policy}
+	if policy.KnownRunTimes {
+		cfg.Oracle = sim.runTime
+	}
+	sim.engine = job.New(cfg, startTime)
 	sim.engine.SetGuarantees(s.GuaranteedAccelerators)
 	for i := range s.Workers {
 		m := newMachine(sim, i)
@@ -79,6 +82,20 @@
 	return sim
 }
 
+// runTime returns the true run time of a task on a worker, or on one with the factor
+// 1 if node is empty.
+func (sim *simulation) runTime(id wire.TaskID, node string) (time.Duration, bool) {
+	r, ok := sim.requests[id.Job]
+	if !ok {
+		return 0, false
+	}
+	d := r.work[id.Step][id.Index]
+	if m, ok := sim.machineByNode[node]; ok {
+		d = time.Duration(float64(d) * m.slowness)
+	}
+	return d, true
+}
+
 func (sim *simulation) clock() time.Time { return startTime.Add(sim.now) }
 
 // after schedules fn to run after d of virtual time.
--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -25,6 +25,10 @@
 	// all of them.
 	Policy Policy
 
+	// Oracle, if not nil, returns the true run time of a task on the worker of a
+	// node, or on one of ordinary speed if the node is empty. Only experiments know it.
+	Oracle func(task wire.TaskID, node string) (time.Duration, bool)
+
 	// OnDecision, if not nil, is called for each decision on a job.
 	OnDecision func(d Decision)
 }
--- a/core/job/learn.go
+++ b/core/job/learn.go
@@ -37,6 +37,9 @@
 // expectedRunTime returns the expected run time of a task. The caller's estimate is
 // used only until a run of the queue has been measured.
 func (e *Engine) expectedRunTime(s *stage) time.Duration {
+	if d, ok := e.knownRunTime(s); ok {
+		return d
+	}
 	if measured := e.runTimes[s.job.Queue]; measured != nil {
 		return measured.mean
 	}
@@ -71,6 +74,9 @@
 	if r.task.stage.step.LongRunning || r.startedAt.IsZero() {
 		return expected
 	}
+	if d, ok := e.knownRemaining(r, now); ok {
+		return d
+	}
 	gain, elapsed := r.percent-r.firstPercent, r.progressAt.Sub(r.startedAt)
 	left := expected - now.Sub(r.startedAt)
 	if gain >= minGainPercent && elapsed >= minGainTime {
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -23,6 +23,10 @@
 
 	// NoEjection gives work also to workers whose runs fail.
 	NoEjection bool
+
+	// KnownRunTimes tells the engine the true run times (Config.Oracle), so that
+	// experiments can show what better forecasts could gain. Only the emulator can.
+	KnownRunTimes bool
 }
 
 // Policies maps names to the policies that experiments compare.
@@ -33,6 +37,7 @@
 	"no_reserve":  {NoReserve: true},
 	"first_fit":   {FirstFit: true},
 	"no_ejection": {NoEjection: true},
+	"oracle":      {KnownRunTimes: true},
 }
 
 // sortQueue sorts waiting stages, the most urgent first.
--- a/tools/experiment/main.go
+++ b/tools/experiment/main.go
@@ -36,12 +36,18 @@
 	seeds := flag.Int("seeds", 50, "number of seeds")
 	names := flag.String("policies", "present,fcfs", "policies to compare, the first one against the others; all of them: "+
 		strings.Join(slices.Sorted(maps.Keys(job.Policies)), ","))
+	burst := flag.String("burst", "", "`CUSTOMER` whose requests are all those that the surges add")
 	plot := flag.String("plot", "", "SVG `FILE` to draw the value earned over time")
 	flag.Parse()
 	s, err := emulate.Load(*file)
 	if err != nil {
 		return err
 	}
+	if *burst != "" {
+		for i := range s.Surges {
+			s.Surges[i].Customer = *burst
+		}
+	}
 	var results []result
 	for _, name := range strings.Split(*names, ",") {
 		policy, ok := job.Policies[name]
@@ -50,7 +56,10 @@
 		}
 		results = append(results, simulateSeeds(s, name, policy, *seeds))
 	}
-	if err := printTable(os.Stdout, s, results); err != nil || *plot == "" {
+	if err := printTable(os.Stdout, s, results); err != nil {
+		return err
+	}
+	if err := printDifferences(os.Stdout, results); err != nil || *plot == "" {
 		return err
 	}
 	return drawCurves(*plot, s.Name, results)
@@ -67,7 +76,7 @@
 	r := result{name: name, outcomes: make([]*emulate.Outcome, seeds)}
 	start := time.Now()
 	var wg sync.WaitGroup
-	semaphore := make(chan struct{}, max(runtime.NumCPU()/2, 1))
+	semaphore := make(chan struct{}, max(min(runtime.NumCPU()/2, runtime.GOMAXPROCS(0)), 1))
 	for i := range seeds {
 		wg.Add(1)
 		go func() {
@@ -119,6 +128,10 @@
 	{"worst kind, share", func(o *emulate.Outcome) float64 { return smallestValue(o.ShareByKind) }},
 	{"largest tenth over its kind, least", func(o *emulate.Outcome) float64 { return smallestValue(o.LargestTenthRatio) }},
 	{"worst customer over the mean", func(o *emulate.Outcome) float64 { return smallestValue(o.ShareByCustomer) / max(o.EarnedShare(), 1e-9) }},
+	{"customers without a surge, share", func(o *emulate.Outcome) float64 { return o.UndisturbedShare }},
+	{"urgent jobs late, share", func(o *emulate.Outcome) float64 { return o.UrgentLateShare }},
+	{"mean completion, s", func(o *emulate.Outcome) float64 { return o.MeanCompletion.Seconds() }},
+	{"wasted core-seconds", func(o *emulate.Outcome) float64 { return o.WastedCoreSeconds }},
 	{"urgent jobs, p95 s", func(o *emulate.Outcome) float64 { return o.UrgentP95.Seconds() }},
 	{"failed that could be done", func(o *emulate.Outcome) float64 { return float64(o.FailedJobs) }},
 	{"without an end", func(o *emulate.Outcome) float64 { return float64(o.OpenJobs) }},
