Count the progress of broken gang members in the emulator

With stop_loses_progress, the members of a gang that was stopped reported the progress of their last change of rate, and the time spent in several racks counted as lost. The scenarios without that key are unaffected.

--- a/core/emulate/machine.go
+++ b/core/emulate/machine.go
@@ -40,8 +40,9 @@
 	rate        float64 // share of the work done per second
 	rateVersion int     // incremented at each rate change, to detect stale events
 	startedAt   time.Duration
-	slowness    float64 // of the slowest worker of its gang
-	restoring   bool    // loads its checkpoint, makes no progress
+	slowness    float64       // of the slowest worker of its gang
+	workedFor   time.Duration // with progress, up to updatedAt
+	restoring   bool          // loads its checkpoint, makes no progress
 	stopping    bool
 }
 
@@ -132,8 +133,8 @@
 // setRate updates the progress and the rate of a run and schedules its end at
 // the new rate.
 func (m *machine) setRate(r *run) {
-	r.doneShare += r.rate * (m.sim.now - r.updatedAt).Seconds()
-	r.updatedAt, r.rate = m.sim.now, m.rate(r)
+	r.advance(m.sim.now)
+	r.rate = m.rate(r)
 	r.rateVersion++
 	if r.rate == 0 {
 		return
@@ -147,6 +148,15 @@
 	})
 }
 
+// advance updates the progress of a run to now.
+func (r *run) advance(now time.Duration) {
+	r.doneShare += r.rate * (now - r.updatedAt).Seconds()
+	if r.rate > 0 {
+		r.workedFor += now - r.updatedAt
+	}
+	r.updatedAt = now
+}
+
 func (m *machine) rate(r *run) float64 {
 	racks := make(map[string]bool)
 	present, hang, slow := 0, false, false
@@ -208,6 +218,9 @@
 func (m *machine) endRun(r *run, end wire.RunEnd) {
 	delete(m.runs, r.id)
 	r.rateVersion++
+	if m.sim.scenario.StopLosesProgress {
+		r.advance(m.sim.now) // a member of a broken gang
+	}
 	m.lastEndNumber++
 	e := wire.EndedRun{Number: m.lastEndNumber, Task: r.id, Run: r.number, End: end}
 	d := r.step().Demand
@@ -250,8 +263,8 @@
 func (m *machine) unproductiveTime(r *run, end wire.RunEnd) time.Duration {
 	switch {
 	case end != wire.EndDone && m.sim.scenario.StopLosesProgress:
-		kept := time.Duration((m.shareKept(r) - r.savedShare) * float64(r.fullTime()))
-		return max(m.sim.now-r.startedAt-kept, 0)
+		kept := (m.shareKept(r) - r.savedShare) / max(r.doneShare-r.savedShare, 1e-9)
+		return m.sim.now - r.startedAt - time.Duration(kept*float64(r.workedFor))
 	case r.savedShare > 0:
 		return min(m.sim.scenario.RestoreTime, m.sim.now-r.startedAt)
 	default:
