Serve customers within a priority by their shares

A burst of one customer put all its jobs ahead of those that others submitted a moment later, because the rank within a priority was the order of acceptance. core/share keeps the recent service of each customer (half-life 6 s, the length of a burst); a job ranks as if accepted later by the time in which its customer's share provides what the customer has received beyond it. Urgent work within a guarantee is not delayed. One customer alone keeps the order.

Policy no_shares switches it off; explain shows share_delay of waiting work.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bramleythread/core/share"
 	"bramleythread/io/wire"
 )
 
@@ -58,9 +59,10 @@
 	runTimes          map[string]*queueRunTime // by queue
 	unhealthyServices map[string]bool          // services that are probed only
 	services          map[string]*serviceHealth
-	holders           map[*stage]struct{}     // stages with a hold on workers
-	reserved          map[*stage]*reservation // reservations of the current tick
-	reservationCount  int                     // made in the current tick
+	holders           map[*stage]struct{}      // stages with a hold on workers
+	reserved          map[*stage]*reservation  // reservations of the current tick
+	reservationCount  int                      // made in the current tick
+	ledgers           map[string]*share.Ledger // recent service of customers, by service
 	createdAt         time.Time
 }
 
@@ -78,6 +80,7 @@
 		deleting:          make(map[string]struct{}),
 		holders:           make(map[*stage]struct{}),
 		reserved:          make(map[*stage]*reservation),
+		ledgers:           make(map[string]*share.Ledger),
 		createdAt:         now,
 	}
 }
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -53,6 +53,7 @@
 	retryAt    time.Time       // no placement before this time
 	lastFailed lastFailure     // of a gang
 	waitReason string          // why its tasks are not placed
+	shareDelay time.Duration   // its place in the queue is that of a job accepted by this much later
 	heldTasks  map[*Worker]int // tasks for which room is held, by worker
 	holdUntil  time.Time
 	advice     advice
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -24,6 +24,10 @@
 	// NoEjection gives work also to workers whose runs fail.
 	NoEjection bool
 
+	// NoShares serves the jobs of a priority in order of acceptance regardless of
+	// what their customers have received.
+	NoShares bool
+
 	// KnownRunTimes tells the engine the true run times (Config.Oracle), so that
 	// experiments can show what better forecasts could gain. Only the emulator can.
 	KnownRunTimes bool
@@ -32,11 +36,12 @@
 // Policies maps names to the policies that experiments compare.
 var Policies = map[string]Policy{
 	"present":     {},
-	"fcfs":        {FirstCome: true, FirstFit: true, NoReclaim: true, NoReserve: true},
+	"fcfs":        {FirstCome: true, FirstFit: true, NoReclaim: true, NoReserve: true, NoShares: true},
 	"no_reclaim":  {NoReclaim: true},
 	"no_reserve":  {NoReserve: true},
 	"first_fit":   {FirstFit: true},
 	"no_ejection": {NoEjection: true},
+	"no_shares":   {NoShares: true},
 	"oracle":      {KnownRunTimes: true},
 }
 
--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -18,6 +18,7 @@
 	e.expireWorkers(now)
 	e.openDueOccurrences(now)
 	e.findUnhealthyServices(now)
+	e.chargeService(now)
 	queue := e.waitingStages(now)
 	clear(e.reserved)
 	e.reservationCount = 0
@@ -56,16 +57,18 @@
 		}
 	}
 	rank := make(map[*stage]float64, len(queue))
+	delays := e.shareDelays()
 	for _, s := range queue {
-		rank[s] = e.rank(s, now)
+		s.shareDelay = e.shareDelay(s, delays)
+		rank[s] = e.rank(s, now) + s.shareDelay.Seconds()
 	}
 	e.sortQueue(queue, rank)
 	return queue
 }
 
-// rank returns the position of a stage among those of the same priority: by the
-// acceptance time of its job or the due time of its occurrence. Stages that would
-// finish too late to be of value come last.
+// rank returns the position of a stage among those of the same priority, without the
+// delay of its customer's share: by the acceptance time of its job or the due time of
+// its occurrence. Stages that would finish too late to be of value come last.
 func (e *Engine) rank(s *stage, now time.Time) float64 {
 	rank := s.dueTime().Sub(e.createdAt).Seconds()
 	if e.unhealthyServices[s.job.Service] {
@@ -146,7 +149,7 @@
 	s.waitReason = reason
 	e.recordDecision(Decision{
 		Kind: "wait", Job: s.job.ID, Task: wire.TaskID{Job: s.job.ID, Occurrence: s.key.occurrence, Step: s.key.step},
-		Reason: fmt.Sprintf("%s:tasks=%d,room=%d,near=%d,workers=%d", reason, n, room, near, eligible), Age: now.Sub(s.job.Accepted),
+		Reason: fmt.Sprintf("%s:tasks=%d,room=%d,near=%d,workers=%d,share_delay=%.1f", reason, n, room, near, eligible, s.shareDelay.Seconds()), Age: now.Sub(s.job.Accepted),
 	})
 }
 
--- a/tools/experiment/main.go
+++ b/tools/experiment/main.go
@@ -37,16 +37,20 @@
 	names := flag.String("policies", "present,fcfs", "policies to compare, the first one against the others; all of them: "+
 		strings.Join(slices.Sorted(maps.Keys(job.Policies)), ","))
 	burst := flag.String("burst", "", "`CUSTOMER` whose requests are all those that the surges add")
+	factor := flag.Float64("burst-factor", 0, "factor of the surges, in place of the scenario's")
 	plot := flag.String("plot", "", "SVG `FILE` to draw the value earned over time")
 	flag.Parse()
 	s, err := emulate.Load(*file)
 	if err != nil {
 		return err
 	}
-	if *burst != "" {
-		for i := range s.Surges {
+	for i := range s.Surges {
+		if *burst != "" {
 			s.Surges[i].Customer = *burst
 		}
+		if *factor > 0 {
+			s.Surges[i].Factor = *factor
+		}
 	}
 	var results []result
 	for _, name := range strings.Split(*names, ",") {
