--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -96,13 +96,18 @@
 	e.addJob(j, now)
 }
 
-// addJob adds a job to the table. Its acceptance time comes from another
-// machine's clock. addJob converts it to the monotonic clock of now, so that
+// newJob returns a job that is in no table yet. Its acceptance time comes from another
+// machine's clock. newJob converts it to the monotonic clock of now, so that
 // clock jumps do not change the job's age, and caps it at now.
-func (e *Engine) addJob(row wire.Job, now time.Time) *Job {
+func newJob(row wire.Job, now time.Time) *Job {
 	row.Accepted = now.Add(-max(now.Sub(row.Accepted), 0))
-	j := &Job{Job: row, state: wire.JobQueued, durableState: wire.JobQueued, stages: make(map[stageKey]*stage),
+	return &Job{Job: row, state: wire.JobQueued, durableState: wire.JobQueued, stages: make(map[stageKey]*stage),
 		openOccurrences: make(map[int]bool), doneOccurrences: make(map[int]bool), earlyFailures: make(map[*Worker]struct{})}
+}
+
+// addJob adds a job to the table.
+func (e *Engine) addJob(row wire.Job, now time.Time) *Job {
+	j := newJob(row, now)
 	e.jobs[row.ID] = j
 	e.jobList = append(e.jobList, j)
 	if row.RepeatCount == 0 {
--- a/core/job/reclaim.go
+++ b/core/job/reclaim.go
@@ -95,16 +95,28 @@
 // withinGuarantee reports whether all unfinished urgent work of the job's customer
 // fits into the accelerators guaranteed to the customer.
 func (e *Engine) withinGuarantee(j *Job) bool {
+	return e.urgentAccelerators(j.Customer) <= e.guaranteed[j.Customer]
+}
+
+// urgentAccelerators returns the accelerators that all unfinished urgent work of a
+// customer needs.
+func (e *Engine) urgentAccelerators(customer string) int {
 	need := 0
-	for _, other := range e.jobList {
-		if other.Priority != 0 || other.Customer != j.Customer || other.state.Final() {
-			continue
-		}
-		for i := range other.Steps {
-			need += other.Steps[i].Count * other.Steps[i].Demand.Accelerators
+	for _, j := range e.jobList {
+		if j.Priority == 0 && j.Customer == customer && !j.state.Final() {
+			need += j.accelerators()
 		}
 	}
-	return need <= e.guaranteed[j.Customer]
+	return need
+}
+
+// accelerators returns the accelerators that all tasks of a job need together.
+func (j *Job) accelerators() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count * j.Steps[i].Demand.Accelerators
+	}
+	return n
 }
 
 // available reports whether a run of long-running work is serving its users.
--- a/core/job/reserve.go
+++ b/core/job/reserve.go
@@ -28,17 +28,24 @@
 	if s.heldTasks != nil || e.reservationCount >= maxReservations {
 		return
 	}
+	best := e.earliestRoom(s, n, now)
+	if best == nil {
+		return
+	}
+	e.reservationCount++
+	e.reserved[s] = best
+}
+
+// earliestRoom returns the earliest room for n tasks of a stage, or nil if there will
+// be none.
+func (e *Engine) earliestRoom(s *stage, n int, now time.Time) *reservation {
 	var best *reservation
 	for _, set := range e.workerSets(s, now) {
 		if r := e.earliestReservation(s, set, n, now); r != nil && (best == nil || r.startAt.Before(best.startAt)) {
 			best = r
 		}
 	}
-	if best == nil {
-		return
-	}
-	e.reservationCount++
-	e.reserved[s] = best
+	return best
 }
 
 // workerSets returns the sets of eligible workers of which one must have room for
