--- a/core/emulate/machine.go
+++ b/core/emulate/machine.go
@@ -15,8 +15,9 @@
 	sim           *simulation
 	node          string
 	rack          string
-	born          int64  // identifies the lifetime of the worker, incremented by a restart
-	sequence      uint64 // of the latest report
+	slowness      float64 // factor of the run time
+	born          int64   // identifies the lifetime of the worker, incremented by a restart
+	sequence      uint64  // of the latest report
 	runs          map[wire.TaskID]*run
 	unackedEnds   []wire.EndedRun // ended runs that the scheduler has not acknowledged
 	lastEndNumber int
@@ -39,11 +40,18 @@
 	rate        float64 // share of the work done per second
 	rateVersion int     // incremented at each rate change, to detect stale events
 	startedAt   time.Duration
+	slowness    float64       // of the slowest worker of its gang
+	workedFor   time.Duration // with progress, up to updatedAt
+	restoring   bool          // loads its checkpoint, makes no progress
 	stopping    bool
 }
 
 func newMachine(sim *simulation, i int) *machine {
-	return &machine{sim: sim, node: fmt.Sprintf("worker-%03d", i), rack: fmt.Sprintf("rack-%02d", i/sim.scenario.WorkersPerRack), born: 1, runs: make(map[wire.TaskID]*run)}
+	slowness := 1.0
+	if list := sim.scenario.Slowness; len(list) > 0 {
+		slowness = list[i%len(list)]
+	}
+	return &machine{sim: sim, slowness: slowness, node: fmt.Sprintf("worker-%03d", i), rack: fmt.Sprintf("rack-%02d", i/sim.scenario.WorkersPerRack), born: 1, runs: make(map[wire.TaskID]*run)}
 }
 
 // free returns the number of unused accelerators.
@@ -70,6 +78,9 @@
 	for _, s := range o.Stops {
 		if r := m.runs[s.Task]; r != nil && r.number == s.Run && !r.stopping {
 			r.stopping = true
+			if m.sim.scenario.StopLosesProgress {
+				m.setRate(r)
+			}
 			m.sim.after(m.sim.scenario.StopDelay, func() { m.stopRun(r) })
 		}
 	}
@@ -77,11 +88,20 @@
 }
 
 func (m *machine) startRun(s wire.StartTask) {
-	r := &run{id: s.Task, number: s.Run, request: m.sim.requests[s.Task.Job], updatedAt: m.sim.now, startedAt: m.sim.now}
+	r := &run{id: s.Task, number: s.Run, request: m.sim.requests[s.Task.Job], updatedAt: m.sim.now, startedAt: m.sim.now, slowness: m.slowness}
 	if share, err := strconv.ParseFloat(s.Checkpoint, 64); err == nil {
 		r.savedShare, r.doneShare = share, share
 	}
 	m.runs[s.Task] = r
+	if d := m.sim.scenario.RestoreTime; d > 0 && r.savedShare > 0 {
+		r.restoring = true
+		m.sim.after(d, func() {
+			r.restoring = false
+			if m.runs[r.id] == r {
+				m.sim.forEachGangMember(r, func(m *machine, r *run) { m.setRate(r) })
+			}
+		})
+	}
 	if m.rejecting {
 		m.sim.after(rejectDelay, func() {
 			if m.runs[r.id] == r {
@@ -113,8 +133,8 @@
 // setRate updates the progress and the rate of a run and schedules its end at
 // the new rate.
 func (m *machine) setRate(r *run) {
-	r.doneShare += r.rate * (m.sim.now - r.updatedAt).Seconds()
-	r.updatedAt, r.rate = m.sim.now, m.rate(r)
+	r.advance(m.sim.now)
+	r.rate = m.rate(r)
 	r.rateVersion++
 	if r.rate == 0 {
 		return
@@ -128,18 +148,30 @@
 	})
 }
 
+// advance updates the progress of a run to now.
+func (r *run) advance(now time.Duration) {
+	r.doneShare += r.rate * (now - r.updatedAt).Seconds()
+	if r.rate > 0 {
+		r.workedFor += now - r.updatedAt
+	}
+	r.updatedAt = now
+}
+
 func (m *machine) rate(r *run) float64 {
 	racks := make(map[string]bool)
 	present, hang, slow := 0, false, false
-	m.sim.forEachGangMember(r, func(other *machine, _ *run) {
+	r.slowness = m.slowness
+	m.sim.forEachGangMember(r, func(other *machine, member *run) {
 		racks[other.rack] = true
 		present++
-		hang, slow = hang || other.hanging, slow || other.slow
+		hang, slow = hang || other.hanging || member.restoring, slow || other.slow
+		hang = hang || member.stopping && m.sim.scenario.StopLosesProgress
+		r.slowness = max(r.slowness, other.slowness)
 	})
 	if hang || r.step().Gang && present < r.step().Count {
 		return 0
 	}
-	rate := 1 / r.request.work[r.id.Step][r.id.Index].Seconds()
+	rate := 1 / r.fullTime().Seconds()
 	if r.step().SameRack && len(racks) > 1 {
 		rate /= m.sim.scenario.RackFactor
 	}
@@ -149,6 +181,11 @@
 	return rate
 }
 
+// fullTime returns the run time of the whole task at the pace of the run's workers.
+func (r *run) fullTime() time.Duration {
+	return time.Duration(float64(r.request.work[r.id.Step][r.id.Index]) * r.slowness)
+}
+
 // finishRun ends a run whose work is complete, as done or, if a failure is due,
 // as failed.
 func (m *machine) finishRun(r *run) {
@@ -181,6 +218,9 @@
 func (m *machine) endRun(r *run, end wire.RunEnd) {
 	delete(m.runs, r.id)
 	r.rateVersion++
+	if m.sim.scenario.StopLosesProgress {
+		r.advance(m.sim.now) // a member of a broken gang
+	}
 	m.lastEndNumber++
 	e := wire.EndedRun{Number: m.lastEndNumber, Task: r.id, Run: r.number, End: end}
 	d := r.step().Demand
@@ -189,11 +229,14 @@
 	m.sim.totalWork += work
 	if end != wire.EndDone {
 		if r.step().Checkpoints && end != wire.EndFailed {
-			e.Checkpoint = strconv.FormatFloat(r.doneShare, 'f', 4, 64)
+			e.Checkpoint = strconv.FormatFloat(m.shareKept(r), 'f', 4, 64)
 		} else {
 			m.sim.wastedWork += work
 		}
 	}
+	if r.step().Checkpoints && end != wire.EndFailed {
+		m.sim.wastedWork += m.unproductiveTime(r, end).Seconds() * cores
+	}
 	m.unackedEnds = append(m.unackedEnds, e)
 	m.report()
 	if end == wire.EndDone || !r.step().Gang {
@@ -206,6 +249,29 @@
 	})
 }
 
+// shareKept returns the share of the work that the checkpoint of a run holds after
+// a stop.
+func (m *machine) shareKept(r *run) float64 {
+	if m.sim.scenario.StopLosesProgress {
+		return m.checkpointedShare(r, r.doneShare)
+	}
+	return r.doneShare
+}
+
+// unproductiveTime returns the time of a run with checkpoints that its task has to
+// spend again: the restore and, if it was stopped, what the checkpoint lacks.
+func (m *machine) unproductiveTime(r *run, end wire.RunEnd) time.Duration {
+	switch {
+	case end != wire.EndDone && m.sim.scenario.StopLosesProgress:
+		kept := (m.shareKept(r) - r.savedShare) / max(r.doneShare-r.savedShare, 1e-9)
+		return m.sim.now - r.startedAt - time.Duration(kept*float64(r.workedFor))
+	case r.savedShare > 0:
+		return min(m.sim.scenario.RestoreTime, m.sim.now-r.startedAt)
+	default:
+		return 0
+	}
+}
+
 // report sends the running and ended runs to the scheduler.
 func (m *machine) report() {
 	if m.down {
@@ -238,7 +304,7 @@
 // checkpointedShare returns the share of the work that the latest checkpoint
 // holds.
 func (m *machine) checkpointedShare(r *run, doneShare float64) float64 {
-	interval := m.sim.scenario.CheckpointInterval.Seconds() / r.request.work[r.id.Step][r.id.Index].Seconds()
+	interval := m.sim.scenario.CheckpointInterval.Seconds() / r.fullTime().Seconds()
 	return max(r.savedShare, doneShare-mod(doneShare, interval))
 }
 
--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleythread/core/estimate"
+	"bramleythread/core/share"
 	"bramleythread/io/wire"
 )
 
@@ -30,6 +31,10 @@
 	// all of them.
 	Policy Policy
 
+	// Oracle, if not nil, returns the true run time of a task on the worker of a
+	// node, or on one of ordinary speed if the node is empty. Only experiments know it.
+	Oracle func(task wire.TaskID, node string) (time.Duration, bool)
+
 	// OnDecision, if not nil, is called for each decision on a job.
 	OnDecision func(d Decision)
 }
@@ -63,10 +68,11 @@
 	speeds            *estimate.Estimator
 	unhealthyServices map[string]bool // services that are probed only
 	services          map[string]*serviceHealth
-	holders           map[*stage]struct{}     // stages with a hold on workers
-	reserved          map[*stage]*reservation // reservations of the current tick
-	reservationCount  int                     // made in the current tick
-	speedsDiffer      bool                    // workers of different speed classes are known
+	holders           map[*stage]struct{}      // stages with a hold on workers
+	reserved          map[*stage]*reservation  // reservations of the current tick
+	reservationCount  int                      // made in the current tick
+	speedsDiffer      bool                     // workers of different speed classes are known
+	ledgers           map[string]*share.Ledger // recent service of customers, by service
 	createdAt         time.Time
 	evacuation        evacuation
 }
@@ -86,6 +92,7 @@
 		deleting:          make(map[string]struct{}),
 		holders:           make(map[*stage]struct{}),
 		reserved:          make(map[*stage]*reservation),
+		ledgers:           make(map[string]*share.Ledger),
 		createdAt:         now,
 		evacuation:        evacuation{current: cfg.EvacuationLimit <= 0, setAt: now},
 	}
@@ -102,13 +109,18 @@
 	e.addJob(j, now)
 }
 
-// addJob adds a job to the table. Its acceptance time comes from another
-// machine's clock. addJob converts it to the monotonic clock of now, so that
+// newJob returns a job that is in no table yet. Its acceptance time comes from another
+// machine's clock. newJob converts it to the monotonic clock of now, so that
 // clock jumps do not change the job's age, and caps it at now.
-func (e *Engine) addJob(row wire.Job, now time.Time) *Job {
+func newJob(row wire.Job, now time.Time) *Job {
 	row.Accepted = now.Add(-max(now.Sub(row.Accepted), 0))
-	j := &Job{Job: row, state: wire.JobQueued, durableState: wire.JobQueued, stages: make(map[stageKey]*stage),
+	return &Job{Job: row, state: wire.JobQueued, durableState: wire.JobQueued, stages: make(map[stageKey]*stage),
 		openOccurrences: make(map[int]bool), doneOccurrences: make(map[int]bool), earlyFailures: make(map[*Worker]struct{})}
+}
+
+// addJob adds a job to the table.
+func (e *Engine) addJob(row wire.Job, now time.Time) *Job {
+	j := newJob(row, now)
 	e.jobs[row.ID] = j
 	e.jobList = append(e.jobList, j)
 	if row.RepeatCount == 0 {
--- a/core/job/learn.go
+++ b/core/job/learn.go
@@ -38,6 +38,9 @@
 
 // expectedRunTime returns the expected run time of a task on a worker of median speed.
 func (e *Engine) expectedRunTime(s *stage) time.Duration {
+	if d, ok := e.knownRunTime(s); ok {
+		return d
+	}
 	if e.cfg.Policy.NoSpeeds {
 		return e.meanRunTime(s)
 	}
@@ -87,6 +90,9 @@
 	if r.startedAt.IsZero() {
 		return expected
 	}
+	if d, ok := e.knownRemaining(r, now); ok {
+		return d
+	}
 	gain, elapsed := r.percent-r.firstPercent, r.progressAt.Sub(r.measuredFrom)
 	left := expected - now.Sub(r.measuredFrom)
 	if !e.cfg.Policy.NoSpeeds {
--- a/core/job/slowness.go
+++ b/core/job/slowness.go
@@ -50,6 +50,9 @@
 	if e.cfg.Policy.NoSpeeds {
 		return speed{slowness: 1}
 	}
+	if slowness, ok := e.knownSlowness(w); ok {
+		return speed{slowness: slowness, class: speedClass(math.Log(slowness))}
+	}
 	s := e.speeds.Slowness(w.speedKey())
 	switch {
 	case s.Sigma > maxKnownSigma:
@@ -57,10 +60,12 @@
 	case math.Abs(s.Log) <= s.Sigma:
 		return speed{slowness: 1}
 	default:
-		return speed{slowness: math.Exp(s.Log), class: int(math.Round(s.Log / speedClassWidth))}
+		return speed{slowness: math.Exp(s.Log), class: speedClass(s.Log)}
 	}
 }
 
+func speedClass(logSlowness float64) int { return int(math.Round(logSlowness / speedClassWidth)) }
+
 // updateSpeeds reads the speeds of all workers for one tick.
 func (e *Engine) updateSpeeds() {
 	slowest, fastest := math.Inf(-1), math.Inf(1)
