Report no worker as gone while a start call is in progress

Callers could have a task run twice at the same time after a worker had crashed and started again under its id.

Cause: three refused polls prove that what has been started is over, but not that a start call in progress arrives nowhere. The agent reported the worker as gone, the scheduler ended the run and started the task elsewhere, and the call then reached the worker's next lifetime, which accepts any token at first.

TestWorkerNotGoneDuringStart shows it in the real agent and fails without this change. Ruled out: calls that have returned, which were made to a process that the refused poll proves to be dead.

Change: the agent counts its start calls in progress. A worker is taken for gone only if there is none and all of them returned before the last refused poll was sent. An end that is announced meanwhile is left to the polls.

--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -77,6 +77,8 @@
 	ended            []wire.EndedRun
 	refused          map[wire.TaskRun]string
 	pending          map[wire.TaskRun]*pending
+	startCalls       int       // start calls that have not returned
+	startReturnedAt  time.Time // when the latest start call returned
 	pacer            pacer
 }
 
--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -246,8 +246,13 @@
 	return born == w.Born && born != 0 || born == 0 && w.State == wire.WorkerDraining
 }
 
-// recordLeave marks the present lifetime as gone. The caller holds mu.
+// recordLeave marks the present lifetime as gone. While a start call is in progress,
+// it leaves that to workerDown. The caller holds mu.
 func (a *Agent) recordLeave() {
+	if a.startCalls > 0 {
+		a.cfg.Log.Info().Str("instance", a.info.Instance).Int("starts", a.startCalls).Msg("leave_during_start")
+		return
+	}
 	a.info.State = wire.WorkerGone
 	a.cfg.Log.Info().Str("instance", a.info.Instance).Msg("worker_left")
 	a.report()
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -77,7 +77,7 @@
 	stop()
 	cancel()
 	if err != nil {
-		a.holdFailed(ctx, err, lifetime)
+		a.holdFailed(ctx, err, sent, lifetime)
 		return
 	}
 	a.downCalls, a.lastHoldFailed = 0, false
@@ -145,12 +145,12 @@
 	a.applyReply(reply, o, sent, lifetime)
 }
 
-func (a *Agent) holdFailed(ctx context.Context, err error, lifetime uint64) {
+func (a *Agent) holdFailed(ctx context.Context, err error, sent time.Time, lifetime uint64) {
 	var refused *RefusedError
 	var down *DownError
 	a.lastHoldFailed = true
 	if errors.As(err, &down) {
-		a.workerDown(lifetime)
+		a.workerDown(sent, lifetime)
 	} else {
 		a.downCalls = 0
 	}
@@ -166,15 +166,17 @@
 // worker's address after which the worker counts as crashed.
 const maxDownCalls = 3
 
-// workerDown counts a call that found no worker process, and reports the
-// worker as gone after maxDownCalls of them.
-func (a *Agent) workerDown(lifetime uint64) {
+// workerDown counts a call that found no worker process, and reports the worker as
+// gone after maxDownCalls of them. All start calls must have returned before the
+// latest of them was sent: one in progress may reach the worker's next lifetime,
+// while the scheduler starts the task elsewhere.
+func (a *Agent) workerDown(sent time.Time, lifetime uint64) {
 	if a.downCalls++; a.downCalls < maxDownCalls {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.lifetime != lifetime || a.info.State == wire.WorkerGone {
+	if a.lifetime != lifetime || a.info.State == wire.WorkerGone || a.startCalls > 0 || a.startReturnedAt.After(sent) {
 		return
 	}
 	a.info.State = wire.WorkerGone
--- a/io/worker/late_call_test.go
+++ b/io/worker/late_call_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -295,3 +296,39 @@
 	f.wait(func() bool { return called.Load() > 1 || len(f.scheduler.last.Load().Pending) == 0 }, "the order is not given up")
 	f.is.Equal(called.Load(), int64(1))
 }
+
+// TestWorkerNotGoneDuringStart guards against a run that counts as ended with its worker
+// while a start call that the agent has begun may still reach the worker's next lifetime.
+func TestWorkerNotGoneDuringStart(t *testing.T) {
+	w := newLateWorker()
+	calls := w.Worker()
+	hold := calls.Hold
+	var down atomic.Bool
+	var called, downCalls atomic.Int64
+	returns := make(chan struct{})
+	calls.Hold = func(ctx context.Context, o worker.HoldRequest) (worker.HoldReply, error) {
+		if down.Load() {
+			downCalls.Add(1)
+			return worker.HoldReply{}, &worker.DownError{Cause: syscall.ECONNREFUSED}
+		}
+		o.Wait = min(o.Wait, 10*time.Millisecond)
+		return hold(ctx, o)
+	}
+	calls.Start = func(context.Context, worker.StartRequest) error {
+		called.Add(1)
+		<-returns
+		return &worker.DownError{Cause: syscall.ECONNREFUSED}
+	}
+	f := newLateCalls(t, calls)
+	returned := sync.OnceFunc(func() { close(returns) })
+	t.Cleanup(returned) // before the agent is closed
+	f.order([]wire.TaskRun{lateRun}, nil)
+	f.wait(func() bool { return called.Load() > 0 }, "the start is not called")
+	down.Store(true)
+	f.wait(func() bool {
+		return downCalls.Load() > 10 || f.scheduler.last.Load().Worker.State == wire.WorkerGone
+	}, "the worker is not polled")
+	f.is.Equal(f.nextReport().Worker.State, wire.WorkerReady)
+	returned()
+	f.report(func(r *wire.WorkerReport) bool { return r.Worker.State == wire.WorkerGone })
+}
--- a/io/worker/order.go
+++ b/io/worker/order.go
@@ -18,6 +18,9 @@
 		gone := a.lifetime != lifetime || a.pending[r] != p || a.info.State == wire.WorkerGone
 		stop := p.stop
 		o := StartRequest{StartTask: s, Instance: a.info.Instance, Token: a.token(), LeaseEnd: a.leaseEnd(time.Now())}
+		if !gone && !stop && o.LeaseEnd > 0 {
+			a.startCalls++
+		}
 		a.mu.Unlock()
 		var err error
 		switch {
@@ -31,6 +34,7 @@
 			err = &RefusedError{Reason: "no_grant"}
 		default:
 			err = a.call(func(ctx context.Context) error { return a.cfg.Worker.Start(ctx, o) })
+			a.startReturned()
 		}
 		if a.handleOutcome(r, p, stop, err) {
 			return
@@ -39,6 +43,13 @@
 	}
 }
 
+func (a *Agent) startReturned() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.startCalls--
+	a.startReturnedAt = time.Now()
+}
+
 func (a *Agent) call(f func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
