Tell three restored lifetimes of a worker apart

Callers could have a task run twice at the same time after a take-over.

Cause: a restored scheduler kept the lifetimes of a worker beyond the first by node and id. A third lifetime under the same id was taken for the second, so the first report of the present one ended its run as replaced although the agent had its start in progress.

Evidence: TestRestoredRunsOfThreeLifetimes fails without this change. Two lifetimes under one id were told apart already (TestRestoreRunsOfTwoWorkerLifetimes). It was found by reading; no site has shown it.

Change: the start time of the lifetime is part of the key.

The tests of core/job on restores and lifetimes pass.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -113,7 +114,7 @@
 	}
 	key := ref.Node
 	if ok {
-		key = ref.Node + " " + ref.Instance // another worker lifetime at the same agent
+		key = fmt.Sprintf("%s %s %d", ref.Node, ref.Instance, ref.Born) // another worker lifetime at the same agent
 		if w, ok = e.workers[key]; ok {
 			return w
 		}
--- a/core/job/restore_test.go
+++ b/core/job/restore_test.go
@@ -222,6 +222,30 @@
 	}
 }
 
+// TestRestoredRunsOfThreeLifetimes guards against a run that counts as ended with an
+// earlier lifetime of its worker: rows name three lifetimes under one id, and the agent
+// of the present one has a start in progress.
+func TestRestoredRunsOfThreeLifetimes(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	for born := range int64(3) {
+		id := fmt.Sprintf("j%d", born+1)
+		f.e.Submit(f.job(id, 1, step(1, 2)), f.now)
+		ref := wire.WorkerRef{Node: node(0), Instance: "i-" + node(0), Born: born + 1}
+		f.rows[id] = wire.JobProgress{State: wire.JobRunning, Workers: []wire.WorkerRef{ref}, Stages: []wire.StageProgress{
+			{Tasks: []wire.TaskProgress{{Run: 1, Worker: 1}}},
+		}}
+	}
+	f.restart()
+	f.report(node(0), func(r *wire.WorkerReport) {
+		r.Worker.Born, r.Running = 3, nil
+		r.Pending = []wire.TaskRun{{Task: wire.TaskID{Job: "j3"}, Run: 1}}
+	}, nil)
+	is.Equal(len(f.runs("j1")), 0)
+	is.Equal(len(f.runs("j2")), 0)
+	is.Equal(len(f.runs("j3")), 1)
+}
+
 func TestWithdrawRemovesJob(t *testing.T) {
 	is := is.New(t)
 	f := newTestCluster(t)
