--- a/io/worker/order.go
+++ b/io/worker/order.go
@@ -18,6 +18,16 @@
 		gone := a.lifetime != lifetime || a.pending[r] != p || a.info.State == wire.WorkerGone
 		stop, permission := p.stop, p.permission
 		o := StartRequest{StartTask: s, Instance: a.info.Instance, Token: a.token(), LeaseEnd: a.leaseEnd(time.Now())}
+		refusal := ""
+		switch {
+		case gone || stop:
+		case o.LeaseEnd == 0:
+			refusal = "no_grant"
+		case permission.expired(a.cfg.BootTime()):
+			refusal = reasonPermissionExpired
+		default:
+			a.startCalls++
+		}
 		a.mu.Unlock()
 		var err error
 		switch {
@@ -27,12 +37,11 @@
 			err = a.call(callTimeout, func(ctx context.Context) error {
 				return a.cfg.Worker.Stop(ctx, StopRequest{TaskRun: r, Instance: o.Instance, Token: o.Token})
 			})
-		case o.LeaseEnd == 0:
-			err = &RefusedError{Reason: "no_grant"}
-		case permission.expired(a.cfg.BootTime()):
-			err = &RefusedError{Reason: reasonPermissionExpired}
+		case refusal != "":
+			err = &RefusedError{Reason: refusal}
 		default:
 			err = a.call(permission.callTimeout(), func(ctx context.Context) error { return a.cfg.Worker.Start(ctx, o) })
+			a.startReturned()
 		}
 		if a.handleOutcome(r, p, stop, err) {
 			return
@@ -41,6 +50,13 @@
 	}
 }
 
+func (a *Agent) startReturned() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.startCalls--
+	a.startReturnedAt = time.Now()
+}
+
 func (a *Agent) call(timeout time.Duration, f func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
