--- a/core/emulate/emulate_test.go
+++ b/core/emulate/emulate_test.go
@@ -146,6 +146,7 @@
 		"a word for a number":   "[scenario]\nworkers = many\nrack = 3\n[kind a]\nper_second = 1\n",
 		"no unit of time":       "[scenario]\nworkers = 3\nrack = 3\nlength = 60\n[kind a]\nper_second = 1\n",
 		"a list with a word":    "[scenario]\nworkers = 3\nrack = 3\n[kind a]\naccelerators = 1,two\n",
+		"a word for yes or no":  "[scenario]\nworkers = 3\nrack = 3\nstop_loses_progress = often\n[kind a]\nper_second = 1\n",
 		"a worker without time": "[scenario]\nworkers = 3\nrack = 3\nslowness = 1,0\n[kind a]\nper_second = 1\n",
 		"no kind of request":    "[scenario]\nworkers = 3\nrack = 3\n",
 		"not a scenario at all": "\x00[",
--- a/core/emulate/load.go
+++ b/core/emulate/load.go
@@ -66,6 +66,15 @@
 	return list
 }
 
+func (r *sectionReader) bool(key string) bool {
+	if !r.section.HasKey(key) {
+		return false
+	}
+	v, err := r.section.Key(key).Bool()
+	r.recordError(key, err)
+	return v
+}
+
 func (r *sectionReader) floats(key string) []float64 {
 	var list []float64
 	for _, text := range r.section.Key(key).Strings(",") {
@@ -119,7 +128,7 @@
 	s.Workers, s.WorkersPerRack = r.int("workers"), r.int("rack")
 	s.WorkerCapacity = wire.Resources{CPU: r.int("cpu_millicores"), Memory: r.int("memory_mib"), Accelerators: r.int("accelerators")}
 	s.Slowness, s.RestoreTime = r.floats("slowness"), r.duration("restore_time")
-	s.StopLosesProgress = r.section.Key("stop_loses_progress").MustBool(false)
+	s.StopLosesProgress = r.bool("stop_loses_progress")
 	s.StoreDelay, s.LinkDelay = r.duration("store_delay"), r.duration("link_delay")
 	s.StopDelay, s.CheckpointInterval, s.RackFactor = r.duration("stop_time"), r.duration("checkpoint_every"), r.float("rack_factor")
 }
