Confirm a worker that is announced after its end

Callers could have a task run twice at the same time after a worker had crashed and started again under its id.

Cause: an announcement of the present lifetime that arrived after its end made the worker ready again without an answer of the worker. The scheduler had ended its runs by then. A start call that was about to be repeated went on, and could reach the worker's next lifetime.

Evidence: TestAnnouncementAfterEndIsConfirmed shows the report of a ready worker while no process listens, and fails without this change. The second run itself was not shown by a test; it needs the announcement within the 0.1 s for which the agent waits before it repeats a call. Ruled out: announcements of other lifetimes, which the worker confirms already.

Change: a lifetime that is gone is not present for announcements. It is adopted anew once the worker has confirmed it, which drops orders in progress and raises the fencing token. A worker that was taken for gone by mistake returns that way.

go test ./io/worker ./platform passes.

--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -47,7 +47,7 @@
 	}
 	a.mu.Lock()
 	id := lifetimeID{n.Instance, n.Born}
-	present := id == lifetimeID{a.info.Instance, a.info.Born}
+	present := a.isPresent(id)
 	c := a.candidates[id]
 	known := c.Sequence
 	if present {
@@ -84,6 +84,12 @@
 	return true
 }
 
+// isPresent reports whether a lifetime is the present one and not gone. One that is gone
+// must be confirmed and adopted again, since the scheduler has ended its runs.
+func (a *Agent) isPresent(id lifetimeID) bool {
+	return id == lifetimeID{a.info.Instance, a.info.Born} && a.info.State != wire.WorkerGone
+}
+
 // ignore logs and counts an announcement that is not applied, and returns false.
 func (a *Agent) ignore(n Announcement, reason string) bool {
 	a.cfg.Log.Info().Str("instance", n.Instance).Int64("born", n.Born).Str("service", n.Service).Uint64("sequence", n.Sequence).Str("reason", reason).Msg("announcement_ignored")
@@ -142,7 +148,7 @@
 		return true, false
 	case other:
 		a.ignore(c.Announcement, ignoredLifetime)
-	case id == lifetimeID{a.info.Instance, a.info.Born}: // another answer has shown it meanwhile
+	case a.isPresent(id): // another answer has shown it meanwhile
 		adopted = c.Sequence > a.announceSequence
 		if adopted {
 			a.applyAnnouncement(c.Announcement)
--- a/io/worker/late_call_test.go
+++ b/io/worker/late_call_test.go
@@ -332,3 +332,41 @@
 	returned()
 	f.report(func(r *wire.WorkerReport) bool { return r.Worker.State == wire.WorkerGone })
 }
+
+// TestAnnouncementAfterEndIsConfirmed guards against a run that is started after the
+// scheduler has ended it with its worker: a delayed announcement of a lifetime that is
+// gone must not make it present again before the worker has shown that it is there. If
+// it has, nothing that was in progress before goes on.
+func TestAnnouncementAfterEndIsConfirmed(t *testing.T) {
+	w := newLateWorker()
+	calls := w.Worker()
+	hold := calls.Hold
+	var down atomic.Bool
+	var token atomic.Uint64
+	calls.Hold = func(ctx context.Context, o worker.HoldRequest) (worker.HoldReply, error) {
+		if down.Load() {
+			return worker.HoldReply{}, &worker.DownError{Cause: syscall.ECONNREFUSED}
+		}
+		token.Store(o.Token)
+		o.Wait = min(o.Wait, 10*time.Millisecond)
+		return hold(ctx, o)
+	}
+	f := newLateCalls(t, calls)
+	f.order([]wire.TaskRun{lateRun}, nil)
+	f.wait(func() bool { return w.heldCalls() > 0 }, "the start is not called")
+	down.Store(true)
+	f.report(func(r *wire.WorkerReport) bool { return r.Worker.State == wire.WorkerGone })
+	before, ready := token.Load(), f.scheduler.ready.Load()
+	f.agent.Announce(worker.Announcement{WorkerInfo: wire.WorkerInfo{Instance: "i-1", Born: 1, State: wire.WorkerReady}, Sequence: 2})
+	f.is.Equal(f.nextReport().Worker.State, wire.WorkerGone)
+	f.is.Equal(f.scheduler.ready.Load(), ready)
+
+	down.Store(false)
+	f.order(nil, nil)
+	r := f.report(func(r *wire.WorkerReport) bool { return r.Worker.State == wire.WorkerReady })
+	f.is.Equal(len(r.Pending), 0)
+	f.is.True(token.Load() > before)
+	w.release()
+	f.nextReport()
+	f.is.Equal(w.StartCounts()[lateRun], 0)
+}
--- a/io/worker/link_test.go
+++ b/io/worker/link_test.go
@@ -21,6 +21,7 @@
 type scriptedScheduler struct {
 	conns   chan *frame.Conn
 	reports atomic.Int64
+	ready   atomic.Int64 // reports of a worker that is ready
 	last    atomic.Pointer[wire.WorkerReport]
 }
 
@@ -40,6 +41,9 @@
 		Handle: func(_ context.Context, _ *frame.Conn, m wire.Message) wire.Message {
 			if r, ok := m.(*wire.WorkerReport); ok {
 				s.reports.Add(1)
+				if r.Worker.State == wire.WorkerReady {
+					s.ready.Add(1)
+				}
 				s.last.Store(r)
 			}
 			return nil
