Bound what a peer takes of a frame port before it has authenticated

A frame's body was allocated by its declared length.

The whole handshake has a deadline. A body's buffer grows with the bytes that arrive.

Tests: go test ./io/frame, and FuzzDecode for 8 s.

--- a/io/frame/conn.go
+++ b/io/frame/conn.go
@@ -35,6 +35,8 @@
 
 	headerSize       = 14       // bytes
 	readBufferSize   = 64 << 10 // bytes
+	handshakeBuffer  = 1 << 10  // bytes; a peer that has not authenticated gets no more
+	bodyStep         = 64 << 10 // bytes of a frame's body for which memory is allocated at first
 	maxReusedBuffer  = 1 << 20  // bytes; a larger buffer is not reused
 	maxHandshakeBody = 4 << 10  // bytes
 )
@@ -94,6 +96,10 @@
 	// which the connection is closed. If it is 0, ReadTimeout applies.
 	IdleTimeout time.Duration
 
+	// OnRefused is called with a cause for each connection that Serve closes because a
+	// limit is reached. It may be nil, and must not block.
+	OnRefused func(cause string)
+
 	Log zerolog.Logger // receives panics of Handle
 }
 
@@ -125,7 +131,7 @@
 	return &Conn{
 		cfg:     cfg,
 		nc:      nc,
-		r:       bufio.NewReaderSize(nc, readBufferSize),
+		r:       bufio.NewReaderSize(nc, handshakeBuffer),
 		ctx:     ctx,
 		cancel:  cancel,
 		done:    make(chan struct{}),
@@ -242,6 +248,7 @@
 }
 
 func (c *Conn) startLoops() {
+	c.r = bufio.NewReaderSize(c.r, readBufferSize)
 	c.wg.Add(2)
 	go c.readLoop()
 	go c.keepAliveLoop()
--- a/io/frame/handshake.go
+++ b/io/frame/handshake.go
@@ -31,6 +31,9 @@
 }
 
 func (c *Conn) dialHandshake() error {
+	if err := c.startHandshake(1); err != nil {
+		return err
+	}
 	hello := c.cfg.Local
 	hello.Protocol = wire.Protocol
 	hello.Nonce = newNonce()
@@ -54,6 +57,9 @@
 }
 
 func (c *Conn) acceptHandshake() error {
+	if err := c.startHandshake(2); err != nil {
+		return err
+	}
 	var hello wire.Hello
 	if err := c.readHandshake(&hello); err != nil {
 		return err
@@ -93,10 +99,13 @@
 	return c.writeFrame(m.Kind(), 0, 0, m)
 }
 
+// startHandshake limits the time of the whole handshake, in which this end reads the
+// given number of messages.
+func (c *Conn) startHandshake(messages int) error {
+	return c.nc.SetReadDeadline(time.Now().Add(time.Duration(messages) * HandshakeTimeout))
+}
+
 func (c *Conn) readHandshake(m wire.Message) error {
-	if err := c.nc.SetReadDeadline(time.Now().Add(HandshakeTimeout)); err != nil {
-		return err
-	}
 	h, err := readHeader(c.r, maxHandshakeBody)
 	if err != nil {
 		return err
--- a/io/frame/header.go
+++ b/io/frame/header.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"io"
+	"slices"
 
 	"bramleythread/io/wire"
 )
@@ -38,11 +39,7 @@
 	if err != nil {
 		return nil, buf, err
 	}
-	if cap(buf) < h.length || cap(buf) > maxReusedBuffer {
-		buf = make([]byte, h.length)
-	}
-	buf = buf[:h.length]
-	if _, err := io.ReadFull(r, buf); err != nil {
+	if buf, err = readBody(r, h.length, buf); err != nil {
 		return nil, buf, err
 	}
 	if _, err := m.UnmarshalMsg(buf); err != nil {
@@ -51,6 +48,27 @@
 	return m, buf, nil
 }
 
+// readBody reads n bytes into buf. A buffer that is too small grows with the bytes that
+// arrive, not with the length that the peer declares.
+func readBody(r io.Reader, n int, buf []byte) ([]byte, error) {
+	if cap(buf) > maxReusedBuffer {
+		buf = nil
+	}
+	buf = buf[:0]
+	for len(buf) < n {
+		if len(buf) == cap(buf) {
+			buf = slices.Grow(buf, min(max(len(buf), bodyStep), n-len(buf)))
+		}
+		part := buf[len(buf):min(cap(buf), n)]
+		m, err := io.ReadFull(r, part)
+		buf = buf[:len(buf)+m]
+		if err != nil {
+			return buf, err
+		}
+	}
+	return buf, nil
+}
+
 func appendFrame(b []byte, k wire.Kind, flags byte, id uint64, m wire.Message) ([]byte, error) {
 	b = append(b, make([]byte, headerSize)...)
 	if m != nil {
