Bound what clients take of a process by its VM

Cause: each connection could hold a whole body in memory, 4,096 connections were allowed on each listener whatever the VM, a body was decoded whatever its number of elements, a path that reads no body waited for it, and a full listener accepted nobody until a client left.

Change: package io/limits, one design for every HTTP listener of every role. Bytes of bodies and of long headers are acquired as they arrive, from a budget that is a fraction of the VM's memory; if it is short, the largest and slowest body is refused with 503. Connections are limited in total and for one address; beyond that the one that has waited longest for its client makes way. Elements and depth of a document are counted before it is decoded. Deadlines close what makes no progress. A body that nothing reads is not awaited. The Go runtime gets 0.6 of the memory, 0.8 before, since three quarters bound the process. Calls to the store for callers are limited to 100, so that the scheduler's have descriptors.

The ordinary request of "open body" at first waited 10 s, because net/http reads the rest of a body before it closes a connection; such reads are now ended.

Ruled out: acquiring the declared length (clients that send nothing would use it up), and buffers that double (an agent of 96 MB came to 77 MB by their garbage).

--- a/core/config/parse_test.go
+++ b/core/config/parse_test.go
@@ -96,6 +96,8 @@
 	}{
 		"missing for the role": {"[process]\nhttp = 127.0.0.1:1\n", "f:1: upstream.agent: missing for role upstream"},
 		"bad address":          {"[process]\nhttp = here\n", `f:2: process.http: "here" is not an address such as 10.0.0.7:9000`},
+		"memory too small":     {"[limits]\nmemory = 1MiB\n", `f:2: limits.memory: "1MiB" is not between 64 MiB and 1.0 TiB`},
+		"too few descriptors":  {"[limits]\nfiles = 10\n", `f:2: limits.files: "10" is not between 264 and 1000000`},
 		"short key":            {"[security]\nkey = 00ff\n", `f:2: security.key: "key" is not at least 32 hexadecimal digits`},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/config/settings.go
+++ b/core/config/settings.go
@@ -38,6 +38,7 @@
 	Trace     TraceSettings
 	Upstream  UpstreamSettings
 	Operator  OperatorSettings
+	Limits    LimitSettings
 }
 
 // DrainSettings set the timing of a graceful shutdown.
@@ -46,6 +47,19 @@
 	Limit  time.Duration // upper bound for each step of the drain
 }
 
+// LimitSettings are what a process may use of its VM. 0 means the default.
+type LimitSettings struct {
+	Memory int64 // bytes
+	Files  int   // open descriptors
+}
+
+// Bounds of the limits. With less, a process cannot serve its own connections.
+const (
+	minMemory = 64 << 20 // bytes
+	maxMemory = 1 << 40  // bytes
+	minFiles  = 264
+)
+
 // LogSettings configure logging.
 type LogSettings struct {
 	Level string
@@ -187,6 +201,10 @@
 			"notice": durationField(&s.Drain.Notice, 0, time.Hour),
 			"limit":  durationField(&s.Drain.Limit, 0, 24*time.Hour),
 		},
+		"limits": {
+			"memory": bytesField(&s.Limits.Memory, minMemory, maxMemory),
+			"files":  countField(&s.Limits.Files, minFiles, maxQueue),
+		},
 		"trace": {"calls": countField(&s.Trace.MaxCalls, 0, maxQueue)},
 		"log":   {"level": levelField(&s.Log.Level)},
 		"upstream": {
--- a/io/agent/pool.go
+++ b/io/agent/pool.go
@@ -7,6 +7,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -44,6 +45,8 @@
 	HandleFetch       func(ctx context.Context, m *wire.FetchResult) wire.Message
 	HandleCancel      func(ctx context.Context, m *wire.CancelRequest) wire.Message
 	EntryAddresses    func() []netip.AddrPort // sent to each agent that connects
+	MaxConns          int                     // 0 means maxConns
+	OnRefused         func(cause string)      // called for each refused connection; may be nil
 }
 
 // agentConn is the connection to one worker's agent and the agent's control
@@ -79,12 +82,12 @@
 // Serve accepts connections on l until the listener is closed.
 func (p *Pool) Serve(l net.Listener) {
 	defer close(p.done)
-	frame.Serve(l, maxConns, p.frameConfig(), p.onAccept)
+	frame.Serve(l, min(cmp.Or(p.cfg.MaxConns, maxConns), maxConns), p.frameConfig(), p.onAccept)
 }
 
 // frameConfig configures the entry's end of a connection.
 func (p *Pool) frameConfig() frame.Config {
-	return frame.Config{Local: p.cfg.Local, Key: p.cfg.Key, Handle: p.handle, Log: p.cfg.Log}
+	return frame.Config{Local: p.cfg.Local, Key: p.cfg.Key, Handle: p.handle, OnRefused: p.cfg.OnRefused, Log: p.cfg.Log}
 }
 
 func (p *Pool) onAccept(c *frame.Conn) {
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -33,6 +33,11 @@
 	Metrics     *Metrics
 	Policy      schedule.Policy
 	TraceCalls  int // number of scheduler calls to record; 0 disables recording
+
+	// MaxConns limits the control connections, 0 for the default. OnRefused is called
+	// with a cause for each that is refused; it may be nil.
+	MaxConns  int
+	OnRefused func(cause string)
 }
 
 // Entry is the state of one entry process.
@@ -111,6 +116,8 @@
 		HandleFetch:       e.answerFetch,
 		HandleCancel:      e.answerCancel,
 		EntryAddresses:    e.liveEntries,
+		MaxConns:          cfg.MaxConns,
+		OnRefused:         cfg.OnRefused,
 	})
 	e.peers = e.pool.NewPeers()
 	e.startRecording(cfg.TraceCalls)
--- a/io/caller/http.go
+++ b/io/caller/http.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 
 	"bramleythread/core/config"
 	"bramleythread/core/schedule"
+	"bramleythread/io/limits"
 	"bramleythread/io/wire"
 )
 
@@ -123,6 +123,9 @@
 		return
 	}
 	known, refusal := e.accept(req)
+	if refusal != schedule.Accepted || known != req {
+		req.release()
+	}
 	if refusal != schedule.Accepted {
 		writeRefusal(w, refusalStatus(refusal), string(refusal))
 		return
@@ -166,13 +169,9 @@
 		return nil, err
 	}
 	arrived := clock()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, cfg.Limits.RequestBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &requestError{http.StatusRequestEntityTooLarge, "the body exceeds the limit"}
-	}
+	body, err := limits.ReadBody(w, r, cfg.Limits.RequestBody)
 	if err != nil {
-		return nil, &requestError{http.StatusBadRequest, "the body was not read whole"}
+		return nil, &requestError{cmp.Or(limits.Status(w, err), http.StatusBadRequest), err.Error()}
 	}
 	return &request{
 		customer:    customer.Name,
@@ -184,6 +183,7 @@
 		arrived:     arrived,
 		deadline:    arrived.Add(timeout),
 		done:        make(chan struct{}),
+		release:     limits.Retain(r),
 	}, nil
 }
 
--- a/io/caller/job_http.go
+++ b/io/caller/job_http.go
@@ -1,15 +1,18 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"math"
 	"net/http"
 	"strings"
 	"time"
+	"unsafe"
 
 	"bramleythread/core/config"
 	"bramleythread/core/job"
+	"bramleythread/io/limits"
 	"bramleythread/io/wire"
 )
 
@@ -111,14 +114,14 @@
 	if !validID(in.JobID) {
 		return &job.InvalidError{Field: "id", Reason: "must be up to 255 letters, digits, - or _"}
 	}
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, in.BodyLimit))
+	body, err := limits.ReadDocument(w, r, limits.Document{MaxSize: in.BodyLimit, ItemSize: int(unsafe.Sizeof(stepRequest{}))})
+	if err != nil {
+		return err
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
 	var req jobRequest
 	if err := d.Decode(&req); err != nil {
-		var large *http.MaxBytesError
-		if errors.As(err, &large) {
-			return err
-		}
 		return &job.InvalidError{Field: "body", Reason: err.Error()}
 	}
 	j := req.job(in)
@@ -211,8 +214,10 @@
 	var invalid *job.InvalidError
 	var refused *NotAcceptedError
 	var unknown *UnknownOutcomeError
-	var large *http.MaxBytesError
+	limited := limits.Status(w, err)
 	switch {
+	case limited != 0:
+		p.Status, p.Outcome = limited, wire.OutcomeNotRun
 	case errors.As(err, &stale):
 		p.Status, p.Outcome = http.StatusServiceUnavailable, wire.OutcomeNotRun
 	case errors.As(err, &token):
@@ -222,8 +227,6 @@
 		p.Status, p.Outcome = http.StatusNotFound, wire.OutcomeNotRun
 	case errors.As(err, &invalid):
 		p.Status, p.Outcome = http.StatusBadRequest, wire.OutcomeNotRun
-	case errors.As(err, &large):
-		p.Status, p.Outcome = http.StatusRequestEntityTooLarge, wire.OutcomeNotRun
 	case errors.As(err, &refused):
 		p.Status, p.Outcome = http.StatusServiceUnavailable, wire.OutcomeNotRun
 		p.retryAfter = int(math.Ceil(refused.RetryAfter.Seconds()))
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -31,6 +31,7 @@
 	arrived     time.Time
 	deadline    time.Time
 	done        chan struct{} // closed when result is set
+	release     func()        // releases what the body has acquired from the limits
 
 	attempts    int  // number of attempts that failed because of the worker or the task
 	refusals    int  // number of refusals by agents
@@ -132,6 +133,7 @@
 	r.result = result
 	r.ended = now
 	r.body = nil
+	r.release()
 	r.addHistory(now, "ended: %s %s", result.Outcome, result.Reason)
 	close(r.done)
 	e.retain(r)
--- a/io/entry/agent.go
+++ b/io/entry/agent.go
@@ -58,6 +58,8 @@
 	MaxAnswer       int64         // bytes
 	ResultLifetime  time.Duration // time for which finished results are retained
 	ConnectUpstream func(a upstream.Announcement) (t upstream.TaskRunner, closeIdle func())
+	MaxConns        int                // of gang leads; 0 means maxConns
+	OnRefused       func(cause string) // called for each refused connection; may be nil
 }
 
 // upstreamState holds the last announcement of the upstream and its client.
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 
@@ -20,15 +21,16 @@
 			Incarnation: a.cfg.Incarnation,
 			Address:     a.cfg.ControlAddress,
 		},
-		Key:    a.cfg.Key,
-		Handle: a.handle,
-		Log:    a.cfg.Log,
+		Key:       a.cfg.Key,
+		Handle:    a.handle,
+		OnRefused: a.cfg.OnRefused,
+		Log:       a.cfg.Log,
 	}
 }
 
 // Serve accepts the connections of gang leads on l until the listener is closed.
 func (a *Agent) Serve(l net.Listener) {
-	frame.Serve(l, maxConns, a.frameConfig(), func(c *frame.Conn) {
+	frame.Serve(l, min(cmp.Or(a.cfg.MaxConns, maxConns), maxConns), a.frameConfig(), func(c *frame.Conn) {
 		a.cfg.Log.Debug().Str("peer", c.Peer().Name).Msg("control_accepted")
 	})
 }
--- a/io/operator/fleet_test.go
+++ b/io/operator/fleet_test.go
@@ -55,6 +55,7 @@
 	relayAgents  bool // put a relay in front of each agent
 	notice       time.Duration
 	drain        time.Duration // limit; 20 s if not set
+	limits       string        // section of the settings
 	traceCalls   int           // number of scheduler calls that each entry records
 }
 
@@ -117,7 +118,7 @@
 	t.Helper()
 	f := &fleet{t: t, cfg: cfg, dir: t.TempDir(), platform: platform.NewStandin(), replies: make(map[string][]reply)}
 	t.Cleanup(f.stopAll)
-	web, err := serveHTTP(netip.MustParseAddrPort("127.0.0.1:0"), f.platform.Handler())
+	web, err := serveStandin(netip.MustParseAddrPort("127.0.0.1:0"), f.platform.Handler())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -218,6 +219,7 @@
 		fmt.Fprintf(&b, "[peers]\nentries = %s\n", strings.Join(entries, ", "))
 	}
 	fmt.Fprintf(&b, "[store]\naddress = %s\n[security]\nkey = %s\n[drain]\nnotice = %s\nlimit = %s\n", f.web.addr, testKeyHex, f.cfg.notice, cmp.Or(f.cfg.drain, 20*time.Second))
+	b.WriteString(f.cfg.limits)
 	if err := os.WriteFile(c.file, []byte(b.String()), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -235,7 +237,7 @@
 			}
 		},
 	})
-	web, err := serveHTTP(netip.MustParseAddrPort("127.0.0.1:0"), standin.Handler())
+	web, err := serveStandin(netip.MustParseAddrPort("127.0.0.1:0"), standin.Handler())
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/io/operator/process_agent.go
+++ b/io/operator/process_agent.go
@@ -8,6 +8,7 @@
 
 	"bramleythread/core/config"
 	"bramleythread/io/entry"
+	"bramleythread/io/limits"
 	"bramleythread/io/platform"
 	"bramleythread/io/upstream"
 )
@@ -35,6 +36,7 @@
 		return nil, err
 	}
 	registry := newRegistry()
+	limiter := newLimiter(s, log, registry)
 	a := entry.New(entry.Config{
 		Name:            s.Name,
 		Zone:            s.Zone,
@@ -49,11 +51,13 @@
 		MaxAnswer:       maxAnswer,
 		ResultLifetime:  answerLifetime,
 		ConnectUpstream: connectUpstream,
+		MaxConns:        limiter.FrameConns(),
+		OnRefused:       limiter.Refused,
 	})
 	mux := newMux(registry, a.Ready)
 	listener := &upstream.Listener{OnAnnounce: a.HandleAnnouncement, OnLeave: a.HandleDeparture}
 	listener.Register(mux)
-	web, err := serveHTTP(s.HTTP, mux)
+	web, err := serveHTTP(webConfig{addr: s.HTTP, handler: mux, limiter: limiter, name: "http", share: limits.WholeShare})
 	if err != nil {
 		_ = l.Close()
 		a.Close()
--- a/io/operator/process_entry.go
+++ b/io/operator/process_entry.go
@@ -4,13 +4,16 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"bramleythread/core/config"
 	"bramleythread/core/schedule"
 	"bramleythread/io/caller"
+	"bramleythread/io/limits"
 	"bramleythread/io/platform"
 )
 
@@ -32,6 +35,7 @@
 		return nil, err
 	}
 	registry := newRegistry()
+	limiter := newLimiter(s, log, registry)
 	e := caller.New(caller.Config{
 		Name:        s.Name,
 		Zone:        s.Zone,
@@ -44,10 +48,12 @@
 		Metrics:     caller.NewMetrics(registry),
 		Policy:      schedule.DefaultPolicy(),
 		TraceCalls:  s.Trace.MaxCalls,
+		MaxConns:    limiter.FrameConns(),
+		OnRefused:   limiter.Refused,
 	})
 	mux := newMux(registry, e.Ready)
 	e.Register(mux)
-	web, err := serveHTTP(s.HTTP, caller.LimitBody(mux))
+	web, err := serveHTTP(webConfig{addr: s.HTTP, handler: caller.LimitBody(mux), limiter: limiter, name: "http", share: limits.WholeShare})
 	if err != nil {
 		_ = l.Close()
 		return nil, err
@@ -58,6 +64,15 @@
 	return &entryProcess{entry: e, web: web, mux: mux, control: l, address: control, drain: s.Drain}, nil
 }
 
+// newLimiter returns the limits of a process with the given settings, and sets the
+// memory limit of the Go runtime if the settings name the memory.
+func newLimiter(s *config.Settings, log zerolog.Logger, r prometheus.Registerer) *limits.Limiter {
+	if s.Limits.Memory > 0 {
+		debug.SetMemoryLimit(limits.RuntimeMemory(s.Limits.Memory))
+	}
+	return limits.New(limits.Config{Memory: s.Limits.Memory, Files: s.Limits.Files, Log: log, Registry: r})
+}
+
 // newIncarnation returns a number that increases with every start.
 func newIncarnation() uint64 { return uint64(time.Now().UnixMilli()) }
 
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -16,6 +16,7 @@
 	"bramleythread/core/config"
 	"bramleythread/core/job"
 	"bramleythread/io/caller"
+	"bramleythread/io/limits"
 	"bramleythread/io/logfmt"
 	"bramleythread/io/platform"
 	"bramleythread/io/scheduler"
@@ -27,13 +28,13 @@
 // which the package bramleythread/platform adapts.
 const (
 	metricsPortOffset   = 1                       // from the first of the ports that the platform assigns
-	memoryLimitFraction = 0.8                     // of the memory that the platform allows
 	drainNotice         = 2500 * time.Millisecond // two missed readiness probes, which are 1 s apart
 	maxNoticeFraction   = 0.45                    // of the time that the platform allows for a stop
 	drainLimit          = 2 * time.Second         // for requests in flight, if the platform states no time for a stop
 	exitTime            = 500 * time.Millisecond  // of the time for a stop, left to close all connections and exit
 	extraRetention      = 10 * time.Second        // in addition to the time that the platform requires
 	minRetention        = 2 * time.Minute
+	maxCallerStoreCalls = 100 // concurrent calls to the store for callers, half of the descriptors that the limits reserve
 )
 
 // loadPlatformSettings reads the settings of the users' platform.
@@ -52,7 +53,7 @@
 
 func limitMemory(s *adapter.Settings) {
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryBytes)))
+		debug.SetMemoryLimit(limits.RuntimeMemory(s.MemoryBytes))
 	}
 }
 
@@ -147,6 +148,7 @@
 		return nil, eris.Wrap(err, "peers")
 	}
 	registry := newRegistry()
+	limiter := newPlatformLimiter(s, log, registry)
 	health := platform.NewHealth(adapter.NewStoreClient(s.Store), log, registry)
 	store := health.MonitoredStore()
 	metrics := scheduler.NewMetrics(registry)
@@ -165,6 +167,7 @@
 	p.candidate = scheduler.Start(scheduler.Config{
 		Advise: advise,
 		Node:   s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
+		MaxLinks: limiter.FrameConns(), OnRefused: limiter.Refused,
 		Guarantees: p.catalog.Guarantees, CancelLimit: s.CancelLimit,
 		Engine: job.Config{
 			LeaseLimit: scheduler.WorkerLeaseExpiry,
@@ -174,7 +177,7 @@
 		},
 	}, l)
 	jobs := &caller.Jobs{
-		Store: store, Health: health, CallScheduler: p.candidate.Call, Log: log, Metrics: caller.NewJobMetrics(registry, p.catalog),
+		Store: store.WithLimit(maxCallerStoreCalls), Health: health, CallScheduler: p.candidate.Call, Log: log, Metrics: caller.NewJobMetrics(registry, p.catalog),
 	}
 	ingress := &adapter.Ingress{Admission: p.admission, Log: log, Jobs: jobs}
 	mux := newMux(registry, p.admission.Ready)
@@ -184,29 +187,43 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	for _, v := range []struct {
-		addr   netip.AddrPort
-		h      http.Handler
-		server **webServer
-	}{
-		{s.Callers, ingress, &p.callers},
-		{s.Readiness, ready, nil},
-		{netip.AddrPortFrom(s.Address, s.Peers.Port()+metricsPortOffset), mux, nil},
-	} {
-		web, err := serveHTTP(v.addr, v.h)
-		if err != nil {
-			p.kill()
-			return nil, eris.Wrapf(err, "listen on %s", v.addr)
-		}
-		if v.server != nil {
-			*v.server = web
-		}
-		p.web = append(p.web, web)
+	p.web, err = serveAll([]webConfig{
+		{addr: s.Callers, handler: ingress, limiter: limiter, name: "callers", share: limits.ClientShare},
+		{addr: s.Readiness, handler: ready, limiter: limiter, name: "readiness", share: limits.ReservedShare},
+		{addr: metricsAddress(s), handler: mux, limiter: limiter, name: "metrics", share: limits.ReservedShare},
+	})
+	if err != nil {
+		p.kill()
+		return nil, err
 	}
+	p.callers = p.web[0]
 	log.Info().Str("name", s.Node).Str("zone", s.Zone).Stringer("callers", s.Callers).Int("pid", os.Getpid()).Msg("entry_started")
 	return p, nil
 }
 
+// newPlatformLimiter returns the limits of a process with the given settings.
+func newPlatformLimiter(s *adapter.Settings, log zerolog.Logger, r *prometheus.Registry) *limits.Limiter {
+	return limits.New(limits.Config{Memory: s.MemoryBytes, Files: s.MaxFiles, Log: log, Registry: r})
+}
+
+func metricsAddress(s *adapter.Settings) netip.AddrPort {
+	return netip.AddrPortFrom(s.Address, s.Peers.Port()+metricsPortOffset)
+}
+
+// serveAll starts a server for each configuration. If one fails, it returns those that
+// were started.
+func serveAll(configs []webConfig) ([]*webServer, error) {
+	var servers []*webServer
+	for _, cfg := range configs {
+		w, err := serveHTTP(cfg)
+		if err != nil {
+			return servers, eris.Wrapf(err, "listen on %s", cfg.addr)
+		}
+		servers = append(servers, w)
+	}
+	return servers, nil
+}
+
 // stopTimes divides the time that the platform allows for a stop, or 0 if it states
 // none, into the notice before the listeners close and the limit for the requests
 // that are in flight then.
@@ -257,25 +274,21 @@
 
 func startJobAgent(s *adapter.Settings, log zerolog.Logger) (*jobAgent, error) {
 	registry := newRegistry()
+	limiter := newPlatformLimiter(s, log, registry)
 	store := platform.NewHealth(adapter.NewStoreClient(s.Store), log, registry).MonitoredStore()
 	p := &jobAgent{agent: worker.Start(worker.Config{
 		Node: s.Node, Zone: s.Zone, Store: store, Worker: adapter.NewWorkerClient(s.Worker), Services: configuredServices(store),
 		Log: log, Metrics: worker.NewMetrics(prometheus.WrapRegistererWith(nil, registry)),
 	})}
 	mux := newMux(registry, func() bool { return true })
-	for _, v := range []struct {
-		addr netip.AddrPort
-		h    http.Handler
-	}{
-		{s.Agent, adapter.AnnouncementHandler(p.agent, log)},
-		{netip.AddrPortFrom(s.Address, s.Peers.Port()+metricsPortOffset), mux},
-	} {
-		web, err := serveHTTP(v.addr, v.h)
-		if err != nil {
-			p.kill()
-			return nil, eris.Wrapf(err, "listen on %s", v.addr)
-		}
-		p.web = append(p.web, web)
+	var err error
+	p.web, err = serveAll([]webConfig{
+		{addr: s.Agent, handler: adapter.AnnouncementHandler(p.agent, log), limiter: limiter, name: "worker", share: limits.ClientShare},
+		{addr: metricsAddress(s), handler: mux, limiter: limiter, name: "metrics", share: limits.ReservedShare},
+	})
+	if err != nil {
+		p.kill()
+		return nil, err
 	}
 	log.Info().Str("name", s.Node).Str("zone", s.Zone).Stringer("worker", s.Worker).Msg("agent_started")
 	return p, nil
--- a/io/operator/process_standin.go
+++ b/io/operator/process_standin.go
@@ -24,7 +24,7 @@
 	standin := platform.NewStandin()
 	mux := newMux(newRegistry(), func() bool { return true })
 	mux.Handle("/v1/", standin.Handler())
-	web, err := serveHTTP(s.HTTP, mux)
+	web, err := serveStandin(s.HTTP, mux)
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +55,7 @@
 	})
 	mux := newMux(newRegistry(), func() bool { return true })
 	mux.Handle("/v1/", standin.Handler())
-	web, err := serveHTTP(s.HTTP, mux)
+	web, err := serveStandin(s.HTTP, mux)
 	if err != nil {
 		return nil, err
 	}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -9,21 +9,17 @@
 	"time"
 
 	"bramleythread/core/config"
+	"bramleythread/io/limits"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"golang.org/x/net/netutil"
+	"github.com/rs/zerolog"
 )
 
-// Limits of every HTTP listener.
-const (
-	maxHeader         = 64 << 10 // bytes
-	readHeaderTimeout = 5 * time.Second
-	readTimeout       = time.Minute
-	idleTimeout       = time.Minute
-	maxHTTPConns      = 4096
-)
+// maxMetricsRequests limits the concurrent reads of the metrics, each of which
+// buffers them all.
+const maxMetricsRequests = 4
 
 // webServer is an HTTP server with its listener.
 type webServer struct {
@@ -33,22 +29,24 @@
 	done      chan struct{}      // closed when the server has stopped
 }
 
-// serveHTTP listens on addr and serves h. The kernel chooses the port if it is 0.
-func serveHTTP(addr netip.AddrPort, h http.Handler) (*webServer, error) {
-	l, bound, err := listen(addr)
+// webConfig configures an HTTP listener.
+type webConfig struct {
+	addr    netip.AddrPort // the kernel chooses the port if it is 0
+	handler http.Handler
+	limiter *limits.Limiter
+	name    string // in the metrics
+	share   limits.Share
+}
+
+// serveHTTP listens and serves within the limits of a process.
+func serveHTTP(cfg webConfig) (*webServer, error) {
+	l, bound, err := listen(cfg.addr)
 	if err != nil {
 		return nil, err
 	}
 	ctx, interrupt := context.WithCancel(context.Background())
 	w := &webServer{
-		server: &http.Server{
-			BaseContext:       func(net.Listener) context.Context { return ctx },
-			Handler:           h,
-			ReadHeaderTimeout: readHeaderTimeout,
-			ReadTimeout:       readTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeader,
-		},
+		server:    &http.Server{BaseContext: func(net.Listener) context.Context { return ctx }},
 		addr:      bound,
 		interrupt: interrupt,
 		done:      make(chan struct{}),
@@ -56,11 +54,22 @@
 	go func() {
 		defer close(w.done)
 		defer interrupt()
-		_ = w.server.Serve(netutil.LimitListener(l, maxHTTPConns))
+		_ = cfg.limiter.Serve(w.server, l, cfg.name, cfg.share, cfg.handler)
 	}()
 	return w, nil
 }
 
+// maxStandinBody is the maximum size of a request to a stand-in in bytes.
+const maxStandinBody = 32 << 20
+
+// serveStandin serves a stand-in with the default limits.
+func serveStandin(addr netip.AddrPort, h http.Handler) (*webServer, error) {
+	return serveHTTP(webConfig{
+		addr: addr, handler: limits.Buffered(h, maxStandinBody), limiter: limits.New(limits.Config{Log: zerolog.Nop()}),
+		name: "http", share: limits.WholeShare,
+	})
+}
+
 // answerTime is the part of a shutdown's limit that is left for requests in flight
 // to be answered after their contexts have ended.
 const answerTime = 300 * time.Millisecond
@@ -92,7 +101,7 @@
 // process serves.
 func newMux(r *prometheus.Registry, ready func() bool) *http.ServeMux {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: maxMetricsRequests}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -34,6 +35,11 @@
 	// instance. It is nil if there is no such service.
 	Advise func(ctx context.Context, q job.AdviceRequest) (map[string]string, error)
 
+	// MaxLinks limits the connections of agents and entries, maxLinks if it is 0.
+	// OnRefused is called with a cause for each that is refused; it may be nil.
+	MaxLinks  int
+	OnRefused func(cause string)
+
 	// BootTime measures the time since the VM's boot. If it is nil,
 	// platform.BootTime does.
 	BootTime func() time.Duration
@@ -84,11 +90,12 @@
 	})
 	go func() {
 		defer close(c.served)
-		frame.Serve(l, maxLinks, frame.Config{
+		frame.Serve(l, min(cmp.Or(cfg.MaxLinks, maxLinks), maxLinks), frame.Config{
 			Local:       wire.Hello{Role: wire.RoleEntry, Name: cfg.Node, Address: cfg.Address},
 			Key:         c.key,
 			Handle:      c.handle,
 			IdleTimeout: linkIdleTimeout,
+			OnRefused:   cfg.OnRefused,
 			Log:         cfg.Log,
 		}, c.acceptConn)
 	}()
--- a/io/upstream/listener.go
+++ b/io/upstream/listener.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"net/http"
+	"unsafe"
+
+	"bramleythread/io/limits"
 )
 
 const maxAnnouncement = 64 << 10 // bytes
@@ -31,8 +34,12 @@
 
 func readAnnouncement(w http.ResponseWriter, r *http.Request) (Announcement, bool) {
 	var a Announcement
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
-	if err := d.Decode(&a); err != nil {
+	body, err := limits.ReadDocument(w, r, limits.Document{MaxSize: maxAnnouncement, ItemSize: int(unsafe.Sizeof(""))})
+	if err != nil {
+		http.Error(w, err.Error(), limits.Status(w, err))
+		return a, false
+	}
+	if err := json.Unmarshal(body, &a); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return a, false
 	}
