--- a/io/limits/body.go
+++ b/io/limits/body.go
@@ -207,7 +207,7 @@
 	b.first = make([]byte, n)
 	part := b.first
 	for first := true; ; first = false {
-		if !first && !b.extendDeadline() {
+		if !first && !b.await() { // most bodies arrive at once
 			return nil, &OverloadError{RetryAfter: retryAfter}
 		}
 		m, err := b.r.Read(part)
@@ -278,13 +278,17 @@
 	return body, nil
 }
 
-// extendDeadline gives the client stallTimeout for the next read, within bodyTimeout.
-// It reports false if the body has been refused.
-func (b *bodyReader) extendDeadline() bool {
+// await prepares the next read of a body that has not arrived at once. From then on the
+// body may be refused in favor of others, and the client has stallTimeout for the read,
+// within bodyTimeout. It reports false if the body has been refused.
+func (b *bodyReader) await() bool {
 	if b.conn == nil {
 		return true
 	}
 	l := b.lease
+	if l.interrupt == nil {
+		l.await(b.conn.interruptRead)
+	}
 	l.b.mu.Lock()
 	defer l.b.mu.Unlock()
 	if l.refused {
@@ -300,7 +304,7 @@
 
 // openBody opens the lease of the current request's body.
 func (c *conn) openBody() *lease {
-	l := c.listener.limiter.budget.open(c.interruptRead)
+	l := c.listener.limiter.budget.open()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.body = l
--- a/io/limits/budget.go
+++ b/io/limits/budget.go
@@ -29,14 +29,15 @@
 
 // lease is the part of a budget that one request holds.
 type lease struct {
-	b         *budget
-	started   time.Time
-	interrupt func() // ends a blocked read of the body; called with b.mu held
+	b       *budget
+	started time.Time
 
 	// Guarded by b.mu.
 	held    int64
 	refused bool // in favor of other bodies
 	closed  bool
+
+	interrupt func() // ends a blocked read of the body
 }
 
 func newBudget(total int64) *budget {
@@ -49,13 +50,19 @@
 	return float64(b.used)
 }
 
-// open returns a lease of nothing for a body that is arriving.
-func (b *budget) open(interrupt func()) *lease {
-	l := &lease{b: b, started: time.Now(), interrupt: interrupt}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.reading[l] = struct{}{}
-	return l
+// open returns a lease of nothing. It is not refused in favor of others until await is
+// called.
+func (b *budget) open() *lease { return &lease{b: b, started: time.Now()} }
+
+// await marks the lease as that of a body that is arriving. interrupt is called, with
+// b.mu held, when the body is refused.
+func (l *lease) await(interrupt func()) {
+	l.b.mu.Lock()
+	defer l.b.mu.Unlock()
+	l.interrupt = interrupt
+	if !l.closed {
+		l.b.reading[l] = struct{}{}
+	}
 }
 
 // grow acquires n more bytes. If the budget is short it refuses the largest and
--- a/io/limits/conn.go
+++ b/io/limits/conn.go
@@ -218,7 +218,8 @@
 	c.mu.Unlock()
 	if l == nil {
 		c.headerHeld = 0
-		l = c.listener.limiter.budget.open(c.interruptRead)
+		l = c.listener.limiter.budget.open()
+		l.await(c.interruptRead)
 		if !c.setHeader(l) {
 			return false
 		}
--- a/io/limits/limits_test.go
+++ b/io/limits/limits_test.go
@@ -90,8 +90,8 @@
 	b := newBudget(16 << 10 * smallFraction)
 	interrupted := make(map[string]bool)
 	open := func(name string, age time.Duration, held int64) *lease {
-		var l *lease
-		l = b.open(func() {
+		l := b.open()
+		l.await(func() {
 			interrupted[name] = true
 			go l.close() // as the reader of the body does
 		})
@@ -102,13 +102,15 @@
 	slow := open("slow", time.Minute, 50<<10)
 	fast := open("fast", time.Second, 50<<10)
 	small := open("small", time.Hour, 1)
-	fresh := b.open(func() {})
+	fresh := b.open()
+	fresh.await(func() {})
 	is.True(fresh.grow(30 << 10))
 	is.Equal(interrupted, map[string]bool{"slow": true})
 	is.True(!slow.complete())
 	is.True(!fast.grow(100 << 10)) // more than the budget has for large bodies
 	is.True(fast.complete())
-	late := b.open(func() {})
+	late := b.open()
+	late.await(func() {})
 	is.True(late.grow(20 << 10))   // small enough for the reserve
 	is.True(!fresh.grow(16 << 10)) // fresh is now the largest and slowest body
 	for _, l := range []*lease{fast, small, fresh, late} {
