Skip workers without kept runs in refresh

Cause: finish folds the oldest ended run of a worker once more than 20 are kept. A gang that outlasts 20 runs on one of its workers is that oldest run. Folding it removes it from all its workers, so another member's worker may have no run left, and refresh divides by the number of its runs. The scheduler panics.

Ruled out: single tasks (20 other runs of the worker remain) and runs that end without being done (End does not refresh).

Change: refresh skips a worker without runs.

Result: TestLongGangOutlastsManyRuns panics with an integer division by zero before and passes after.

--- a/core/estimate/observe.go
+++ b/core/estimate/observe.go
@@ -98,6 +98,9 @@
 	}
 	for i := range min(refreshedRuns, len(r.workers)) {
 		w := r.workers[(int(e.observed%uint64(len(r.workers)))+i)%len(r.workers)]
+		if len(w.runs) == 0 { // finish has folded r
+			continue
+		}
 		w.next = (w.next + 1) % len(w.runs)
 		if other := w.runs[w.next]; other.step != r.step {
 			e.update(other)
