Inherit the slowness of the newest earlier lifetime

Cause: workerLifetime collects the earlier lifetimes of a worker from a map and makes their slowness a prior before it sorts them. SetPrior keeps the first of equally certain priors, so the prior depends on the map's order.

Ruled out: different certainties, of which the more certain one always counts.

Change: the lifetimes are sorted first, by instance too, and inherited newest first.

Result: TestNewestLifetimeCounts fails before and passes after.

--- a/core/job/report.go
+++ b/core/job/report.go
@@ -98,8 +98,10 @@
 		w = newWorker(r.Node, now.Add(e.cfg.LeaseLimit))
 		w.WorkerInfo = r.Worker
 	}
+	slices.SortFunc(others, func(a, b *Worker) int {
+		return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.Instance, b.Instance))
+	})
 	e.inheritSlowness(w, others)
-	slices.SortFunc(others, func(a, b *Worker) int { return cmp.Compare(a.Born, b.Born) })
 	for _, other := range others {
 		if other.Instance == w.Instance {
 			e.moveListedRuns(other, w, r)
--- a/core/job/speed.go
+++ b/core/job/speed.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -178,10 +179,10 @@
 	}
 }
 
-// inheritSlowness makes what is known of the earlier lifetimes of a worker's VM a weak
-// prior for this one.
+// inheritSlowness makes what is known of the earlier lifetimes of a worker's VM, the
+// oldest first, a weak prior for this one. Of equally certain priors the newest counts.
 func (e *Engine) inheritSlowness(w *Worker, earlier []*Worker) {
-	for _, other := range earlier {
+	for _, other := range slices.Backward(earlier) {
 		e.speeds.SetPrior(w.speedKey(), e.speeds.Slowness(other.speedKey()).NextLifetime())
 		e.speeds.Forget(other.speedKey())
 	}
--- a/core/job/speed_test.go
+++ b/core/job/speed_test.go
@@ -147,6 +147,22 @@
 	is.True(s.Sigma > 0.3 && s.Sigma < 0.5)
 }
 
+// TestNewestLifetimeCounts guards against a prior that depends on the order of a map if
+// several earlier lifetimes are known equally well.
+func TestNewestLifetimeCounts(t *testing.T) {
+	is := is.New(t)
+	for range 20 {
+		f := newTestCluster(t)
+		for born := range int64(2) {
+			w := f.e.workerFor(wire.WorkerRef{Node: node(0), Instance: "i-" + node(0), Born: born + 1})
+			f.e.speeds.SetPrior(w.speedKey(), estimate.Slowness{Log: 0.4 * float64(born+1), Sigma: 0.1})
+		}
+		f.report(node(0), func(r *wire.WorkerReport) { r.Worker.Born = 3 }, nil)
+		s := f.e.speeds.Slowness(f.e.workers[node(0)].speedKey())
+		is.True(math.Abs(s.Log-0.8) < 1e-6)
+	}
+}
+
 // TestFactorSurvivesTakeover guards against a new scheduler that takes all workers as
 // equal, and against one that believes a broken report or one of another model.
 func TestFactorSurvivesTakeover(t *testing.T) {
