Take the zone of a worker that names none from its agent

An announcement without a zone is accepted, and the agent's own zone, which its settings name, was not used. Such a worker was in no zone, so the evacuation of the zone never excluded it and tasks were started there.

Ruled out: refusing such an announcement, since that would take the worker out of service on sites that never evacuate a zone.

TestZoneOfWorker fails before (the report names no zone) and passes now.

--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -91,11 +92,13 @@
 	return false
 }
 
-// applyAnnouncement applies an announcement of the present lifetime. The caller
+// applyAnnouncement applies an announcement of the present lifetime. A worker that
+// names no zone is in the agent's, so that an evacuation applies to it. The caller
 // holds mu.
 func (a *Agent) applyAnnouncement(n Announcement) {
 	state := a.info.State
 	a.info, a.announceSequence = n.WorkerInfo, n.Sequence
+	a.info.Zone = cmp.Or(n.Zone, a.cfg.Zone)
 	if state != n.State {
 		a.cfg.Log.Info().Str("instance", n.Instance).Str("state", string(n.State)).Dur("remaining", n.Remaining).Msg("worker_state")
 		a.report()
