Report no worker as gone while an unanswered start may be carried out

A leave was held back only while a start call was in progress. A call that has ended without an answer may take effect as well, in this lifetime or the next one under the same id, which is why an abandoned start is always followed by a stop. If the leave arrived between two attempts, the scheduler ended the run and placed the task elsewhere.

Ruled out: a start that was answered, refused, stopped with an answer, or found no process; these do not hold the leave back. workerDown reports the worker once its process is gone.

--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -91,6 +91,7 @@
 	reason      string    // reported as the refusal reason if the run never starts
 	stopAckedAt time.Time // when it was acknowledged
 	permission  startPermission
+	unanswered  bool // a start call has ended without an answer, and may still be carried out
 }
 
 // Start starts an agent, which runs until Close is called.
--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -249,11 +249,18 @@
 	return born == w.Born && born != 0 || born == 0 && w.State == wire.WorkerDraining
 }
 
-// recordLeave marks the present lifetime as gone. While a start call is in progress,
-// it leaves that to workerDown. The caller holds mu.
+// recordLeave marks the present lifetime as gone. While a start call is in progress, or
+// has ended without an answer and may still be carried out, it leaves that to
+// workerDown. The caller holds mu.
 func (a *Agent) recordLeave() {
-	if a.startCalls > 0 {
-		a.cfg.Log.Info().Str("instance", a.info.Instance).Int("starts", a.startCalls).Msg("leave_during_start")
+	starts := a.startCalls
+	for _, p := range a.pending {
+		if p.unanswered && !p.stopAcked {
+			starts++
+		}
+	}
+	if starts > 0 {
+		a.cfg.Log.Info().Str("instance", a.info.Instance).Int("starts", starts).Msg("leave_during_start")
 		return
 	}
 	a.info.State = wire.WorkerGone
--- a/io/worker/order.go
+++ b/io/worker/order.go
@@ -69,6 +69,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var refused *RefusedError
+	var down *DownError
 	switch {
 	case err == nil && stop:
 		p.stopAcked, p.stopAckedAt = true, time.Now()
@@ -90,6 +91,7 @@
 		p.stop, p.reason = true, refused.Reason
 		return false
 	default:
+		p.unanswered = p.unanswered || !stop && !errors.As(err, &down)
 		a.cfg.Log.Debug().Str("job", r.Task.Job).Int("run", r.Run).Bool("stop", stop).Err(err).Msg("no_answer")
 		return false
 	}
