--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -97,11 +98,13 @@
 	return false
 }
 
-// applyAnnouncement applies an announcement of the present lifetime. The caller
+// applyAnnouncement applies an announcement of the present lifetime. A worker that
+// names no zone is in the agent's, so that an evacuation applies to it. The caller
 // holds mu.
 func (a *Agent) applyAnnouncement(n Announcement) {
 	state := a.info.State
 	a.info, a.announceSequence = n.WorkerInfo, n.Sequence
+	a.info.Zone = cmp.Or(n.Zone, a.cfg.Zone)
 	if state != n.State {
 		a.cfg.Log.Info().Str("instance", n.Instance).Str("state", string(n.State)).Dur("remaining", n.Remaining).Msg("worker_state")
 		a.report()
@@ -252,11 +255,18 @@
 	return born == w.Born && born != 0 || born == 0 && w.State == wire.WorkerDraining
 }
 
-// recordLeave marks the present lifetime as gone. While a start call is in progress,
-// it leaves that to workerDown. The caller holds mu.
+// recordLeave marks the present lifetime as gone. While a start call is in progress, or
+// has ended without an answer and may still be carried out, it leaves that to
+// workerDown. The caller holds mu.
 func (a *Agent) recordLeave() {
-	if a.startCalls > 0 {
-		a.cfg.Log.Info().Str("instance", a.info.Instance).Int("starts", a.startCalls).Msg("leave_during_start")
+	starts := a.startCalls
+	for _, p := range a.pending {
+		if p.unanswered && !p.stopAcked {
+			starts++
+		}
+	}
+	if starts > 0 {
+		a.cfg.Log.Info().Str("instance", a.info.Instance).Int("starts", starts).Msg("leave_during_start")
 		return
 	}
 	a.info.State = wire.WorkerGone
