--- a/core/config/fault.go
+++ b/core/config/fault.go
@@ -9,10 +9,10 @@
 
 // Fault is one error in a configuration file.
 type Fault struct {
-	File   string
-	Line   int
-	Key    string // section and key, as "section.key"
-	Reason string
+	File   string `json:"file"`
+	Line   int    `json:"line"`
+	Key    string `json:"key"` // section and key, as "section.key"
+	Reason string `json:"reason"`
 }
 
 // String formats the fault as "file:line: key: reason".
