Warn and compare with the version in force in check

check told only the errors of a configuration. What it would change, and which entries have no effect, was seen after publishing.

Ruled out: taking the settings from BRAMLEYTHREAD_SETTINGS, which would make a check of files contact the platform unasked; comparing a configuration with errors, because a file that cannot be read would count as removed; and refusing warnings in publish, since they do not make a configuration invalid.

check prints warnings beside errors and exits with 1 for either. -settings reads the version in force and lists the keys that differ, -json prints one document. A file, settings or a platform that cannot be read gives status 2; for files it was 1. Output and status for a valid configuration without warnings stay.

Tests of core/config, io/platform and the check, config and publish tests of io/operator pass; four mutations of the command all fail a test.

--- a/io/operator/cmd_check.go
+++ b/io/operator/cmd_check.go
@@ -18,29 +18,37 @@
 
 var cmdCheck = &Command{
 	Name:        "check",
-	Description: "Validates a configuration, prints every fault and shows the plan",
-	Args:        "-base FILE [-overlay FILE] | -boot FILE",
+	Description: "Validates a configuration, prints every finding, the plan and what would change",
+	Args:        "-base FILE [-overlay FILE] [-settings FILE] [-json] | -boot FILE",
 	Action: func(env Env, args []string) error {
 		fs := cmdFlags("check", env)
 		base := fs.String("base", "", "base configuration `FILE`")
 		overlay := fs.String("overlay", "", "overlay `FILE` of the site")
+		settings := fs.String("settings", "", "operator's settings `FILE`; compares with the version in force")
+		asJSON := fs.Bool("json", false, "print the findings and differences as JSON")
 		boot := fs.String("boot", "", "settings `FILE` of the users' platform")
 		if err := parseFlags(env, fs, args, 0); err != nil {
 			return err
 		}
 		if *boot != "" {
+			if *settings != "" || *asJSON {
+				return &UsageError{Reason: "-boot takes neither -settings nor -json"}
+			}
 			return checkPlatformSettings(env, *boot)
 		}
-		sources, err := readSources(*base, *overlay)
+		r, err := checkConfig(env, *base, *overlay, *settings)
 		if err != nil {
 			return err
 		}
-		cfg, p, err := checkSources(sources)
-		if err != nil {
-			return err
+		if *asJSON {
+			err = r.printJSON(env.Stdout)
+		} else {
+			r.printText(env)
 		}
-		printPlan(env.Stdout, cfg, p)
-		return nil
+		if err == nil && len(r.Findings) > 0 {
+			err = &ReportedError{}
+		}
+		return err
 	},
 }
 
--- a/io/operator/command.go
+++ b/io/operator/command.go
@@ -73,17 +73,34 @@
 // Error returns a text for callers that print the error nevertheless.
 func (e *ReportedError) Error() string { return "failed" }
 
+// UnreadableError reports that a file or the platform could not be read, so that
+// nothing is known about what the command was to judge. The program exits with
+// status 2.
+type UnreadableError struct {
+	Err error
+}
+
+// Error returns the text of the cause.
+func (e *UnreadableError) Error() string { return eris.ToString(e.Err, false) }
+
+// Unwrap returns the cause.
+func (e *UnreadableError) Unwrap() error { return e.Err }
+
 // Main runs the command given by the arguments and returns the exit status.
 func Main(env Env) int {
 	err := dispatch(env)
 	var usage *UsageError
 	var reported *ReportedError
+	var unreadable *UnreadableError
 	var faults *config.FaultsError
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return exitOK
 	case errors.As(err, &reported):
 		return exitFailure
+	case errors.As(err, &unreadable):
+		_, _ = fmt.Fprintf(env.Stderr, "bramleythread: %v\n", unreadable)
+		return exitUsage
 	case errors.As(err, &faults):
 		_, _ = fmt.Fprintln(env.Stderr, faults.Error())
 		return exitFailure
--- a/io/platform/config_cache.go
+++ b/io/platform/config_cache.go
@@ -29,10 +29,15 @@
 
 // Parse parses and validates the configuration.
 func (r ConfigRow) Parse() (*config.Config, error) {
-	return config.Parse(
-		config.Source{Name: "base", Text: []byte(r.Base)},
-		config.Source{Name: "overlay", Text: []byte(r.Overlay)},
-	)
+	return config.Parse(r.Sources()...)
+}
+
+// Sources returns the base file and the overlay.
+func (r ConfigRow) Sources() []config.Source {
+	return []config.Source{
+		{Name: "base", Text: []byte(r.Base)},
+		{Name: "overlay", Text: []byte(r.Overlay)},
+	}
 }
 
 // ConfigConflictError reports to an operator that another configuration was
