--- a/core/job/tick.go
+++ b/core/job/tick.go
@@ -52,6 +52,10 @@
 
 // waitingStages returns the stages with tasks to place, the most urgent first.
 func (e *Engine) waitingStages(now time.Time) []*stage {
+	if e.urgentNeed == nil { // outside a tick
+		e.urgentNeed = e.sumUrgentNeed()
+		defer func() { e.urgentNeed = nil }()
+	}
 	var queue []*stage
 	for _, j := range e.jobList {
 		if j.state.Final() {
