Send the stop of a pending start once

A stop that was ordered while its start was pending had no reason, and the refusal that followed was stored as an empty text, which stands for none. The orders that still listed the stop then began it again, so that the worker answered two stops and one more poll for every run that was stopped before its start was answered, as those in an evacuated zone are.

Ruled out: a second stop by the scheduler, which lists it until it has read the refusal; the agent resolves that by the refusal it keeps.

TestStopOfPendingStartIsSentOnce fails before (2 stops) and passes 5 times in 5 now.

--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -286,7 +287,7 @@
 	p := a.pending[r]
 	switch {
 	case p != nil:
-		p.stop = true
+		p.stop, p.reason = true, cmp.Or(p.reason, "stopped")
 	case a.hasEnded(r):
 		// the report lists the end, and the run cannot start again
 	case a.refused[r] == "":
