--- a/io/operator/cmd_check_test.go
+++ b/io/operator/cmd_check_test.go
@@ -18,7 +18,7 @@
 // or an unreadable input, and against output that lacks a finding or a difference.
 func TestCheckComparesWithVersionInForce(t *testing.T) {
 	standin, dir := platform.NewStandin(), t.TempDir()
-	web, err := serveHTTP(netip.MustParseAddrPort("127.0.0.1:0"), standin.Handler())
+	web, err := serveStandin(netip.MustParseAddrPort("127.0.0.1:0"), standin.Handler())
 	if err != nil {
 		t.Fatal(err)
 	}
