Count the wait for faster workers from the acceptance

Cause: limitSlowness bounds the wait of urgent work by readyAt, which is the time at which the present scheduler created the stage. After a takeover, or if a job reaches the scheduler late, the wait of up to 1.2 s begins again, so work within a guarantee can start later than the bound from its acceptance allows.

Ruled out: later steps, whose wait still counts from the end of the steps before; retries, which do not change readyAt.

Change: the wait of a first step counts from its job's acceptance, or from the moment its occurrence became due.

--- a/core/job/slowness.go
+++ b/core/job/slowness.go
@@ -95,7 +95,7 @@
 // if it then finishes in time or at least earlier.
 func (e *Engine) limitSlowness(s *stage, n int, now time.Time) {
 	s.maxSlowness, s.waitsForSpeed = 0, false
-	if !e.speedsDiffer || s.step.LongRunning || s.job.Priority == 0 && now.Sub(s.readyAt) > maxSpeedWait {
+	if !e.speedsDiffer || s.step.LongRunning || s.job.Priority == 0 && now.Sub(s.firstReadyAt()) > maxSpeedWait {
 		return
 	}
 	allowed := e.allowedSlowness(s, now)
@@ -115,6 +115,16 @@
 	}
 }
 
+// firstReadyAt returns when the stage's tasks could first be placed. For the first step
+// that is the acceptance of the job, since the guarantee counts from there and the stage
+// may have been created later, by a new scheduler.
+func (s *stage) firstReadyAt() time.Time {
+	if len(s.step.After) == 0 {
+		return s.dueTime()
+	}
+	return s.readyAt
+}
+
 // preemptsForSpeed reports whether the stage can make room on faster workers by stopping
 // less urgent work that loses less than the stage's own work.
 func (e *Engine) preemptsForSpeed(s *stage, n int, now time.Time) bool {
--- a/core/job/slowness_test.go
+++ b/core/job/slowness_test.go
@@ -146,3 +146,26 @@
 	f.tick()
 	is.Equal(len(f.runs("urgent")), 1)
 }
+
+// TestSpeedWaitCountsFromAcceptance plays a takeover while urgent work waits for a faster
+// worker. It guards against a wait that begins anew at each takeover and so exceeds the
+// time in which work within a guarantee must start.
+func TestSpeedWaitCountsFromAcceptance(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	f.e.SetGuarantees(map[string]int{"c": 8})
+	f.workers(2)
+	f.learn("q", 6*time.Second)
+	f.learn("batch", 1500*time.Millisecond)
+	busy := f.job("busy", 0, step(2, 8))
+	busy.Customer, busy.Queue = "other", "batch"
+	f.e.Submit(busy, f.now)
+	f.tick()
+	f.workers(3)
+	f.setSlowness(1, 1, 2.4)
+	urgent := f.job("urgent", 0, step(1, 8))
+	urgent.Stretch, urgent.Accepted = 1.5, f.now.Add(-maxSpeedWait-time.Millisecond)
+	f.e.Submit(urgent, f.now)
+	f.tick()
+	is.Equal(len(f.runs("urgent")), 1)
+}
