Place gangs on warm workers before cold ones of any speed

Cause: fitGang tries each class of like speed by itself and only packTasks puts cold workers last, so it does that within one class. A gang whose preferred class consists of cold workers gets these while warm workers of another class are free, and a zone that returns to service does not fill gradually.

Ruled out: independent tasks, which are sorted by cold before speed.

Change: the classes are tried with the warm workers first.

Result: TestGangPrefersWarmWorkersToSpeed fails before and passes after.

--- a/core/job/fit.go
+++ b/core/job/fit.go
@@ -19,7 +19,11 @@
 	required := e.requiredEvidence(s, s.failures, s.lastFailed, now)
 	preferred := max(required, notUnproven)
 	known := slices.DeleteFunc(slices.Clone(c), func(x candidate) bool { return !x.satisfies(preferred, s.lastFailed.at) })
-	for _, set := range e.bySpeed(s, known, now) {
+	sets := e.bySpeed(s, known, now)
+	if warm := e.warmerCandidates(known); warm != nil {
+		sets = append(e.bySpeed(s, warm, now), sets...)
+	}
+	for _, set := range sets {
 		if chosen := e.fitGangLocally(s, set, n); chosen != nil {
 			return chosen
 		}
--- a/core/job/slowness_test.go
+++ b/core/job/slowness_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleythread/core/estimate"
+	"bramleythread/io/wire"
 
 	"github.com/matryer/is"
 )
@@ -147,6 +148,31 @@
 	is.Equal(len(f.runs("urgent")), 1)
 }
 
+// TestGangPrefersWarmWorkersToSpeed plays a gang with slack while the slow workers, which
+// it would get, are cold. It guards against speeds that fill a zone that has just
+// returned before the warm workers.
+func TestGangPrefersWarmWorkersToSpeed(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	for i := range 4 {
+		f.report(node(i), func(r *wire.WorkerReport) {
+			if i < 2 {
+				r.Worker.ColdRemaining = time.Minute
+			}
+		}, nil)
+	}
+	f.setSlowness(2.4, 2.4, 1, 1)
+	f.learn("q", 4*time.Second)
+	j := f.job("j", 0, gang(2, 8))
+	j.Stretch = 4
+	f.e.Submit(j, f.now)
+	f.tick()
+	is.Equal(len(f.runs("j")), 2)
+	for _, r := range f.runs("j") {
+		is.True(!r.worker.cold())
+	}
+}
+
 // TestSpeedWaitCountsFromAcceptance plays a takeover while urgent work waits for a faster
 // worker. It guards against a wait that begins anew at each takeover and so exceeds the
 // time in which work within a guarantee must start.
