Report stops of runs that were never started in the emulator

Cause: a run that is placed and preempted in one tick is never ordered to start, so the emulated worker knows nothing of it and ignored the order to stop it. Real agents report such a run as refused. The engine rightly waits for that, so the run occupied its resources until the end of the simulation or the worker's restart.

Ruled out: the engine and the limit on the wait for faster workers. Urgent gangs within a guarantee that started 4.2 to 5.0 s after acceptance waited for room that such runs held (held from 16.7 s to beyond 34 s in one trace).

Change: the emulated worker reports the end of a run that it does not know.

Result: TestStopBeforeStartIsReported fails before and passes after.

--- a/core/emulate/emulate_test.go
+++ b/core/emulate/emulate_test.go
@@ -125,6 +125,19 @@
 	}
 }
 
+// TestStopBeforeStartIsReported guards against a run that is placed and stopped before
+// its start is sent occupying its worker until the end of the simulation.
+func TestStopBeforeStartIsReported(t *testing.T) {
+	is := is.New(t)
+	m := newSimulation(&Scenario{Workers: 1, WorkersPerRack: 1, WorkerCapacity: wire.Resources{Accelerators: 8}}, job.Policy{}).machines[0]
+	o := wire.WorkerOrders{Born: m.born, Stops: []wire.TaskRun{{Task: wire.TaskID{Job: "j"}, Run: 1}}}
+	m.applyOrders(o)
+	m.applyOrders(o) // repeated until the scheduler has processed the end
+	is.Equal(m.unackedEnds, []wire.EndedRun{{Number: 1, Task: wire.TaskID{Job: "j"}, Run: 1, End: wire.EndStopped}})
+	m.applyOrders(wire.WorkerOrders{Born: m.born, AckedEnds: 1})
+	is.Equal(len(m.unackedEnds), 0)
+}
+
 // TestSurgeOfOneCustomer guards against a surge that changes the load of the other
 // customers, with which the effect of shares could not be measured.
 func TestSurgeOfOneCustomer(t *testing.T) {
--- a/core/emulate/machine.go
+++ b/core/emulate/machine.go
@@ -76,7 +76,12 @@
 		}
 	}
 	for _, s := range o.Stops {
-		if r := m.runs[s.Task]; r != nil && r.number == s.Run && !r.stopping {
+		r := m.runs[s.Task]
+		if r == nil || r.number != s.Run {
+			m.refuseRun(s)
+			continue
+		}
+		if !r.stopping {
 			r.stopping = true
 			if m.sim.scenario.StopLosesProgress {
 				m.setRate(r)
@@ -87,6 +92,15 @@
 	m.report()
 }
 
+// refuseRun reports a run that is to be stopped and has not been started as ended. Its
+// start cannot arrive any more, since orders arrive in order.
+func (m *machine) refuseRun(r wire.TaskRun) {
+	if !slices.ContainsFunc(m.unackedEnds, func(e wire.EndedRun) bool { return e.Task == r.Task && e.Run == r.Run }) {
+		m.lastEndNumber++
+		m.unackedEnds = append(m.unackedEnds, wire.EndedRun{Number: m.lastEndNumber, Task: r.Task, Run: r.Run, End: wire.EndStopped})
+	}
+}
+
 func (m *machine) startRun(s wire.StartTask) {
 	r := &run{id: s.Task, number: s.Run, request: m.sim.requests[s.Task.Job], updatedAt: m.sim.now, startedAt: m.sim.now, slowness: m.slowness}
 	if share, err := strconv.ParseFloat(s.Checkpoint, 64); err == nil {
