Learn no speeds from runs on cold workers

Cause: progress on a worker that is cold after its zone has returned counts as that of any other.

Ruled out: workers that were not proven, which regular leaves out already.

Change: a run that is listed while its worker is cold is irregular.

Result: TestColdWorkersTellNothingOfSpeed fails before and passes after.

--- a/core/job/report.go
+++ b/core/job/report.go
@@ -226,6 +226,7 @@
 		r.startedAt, r.progressAt = now, now
 		r.firstPercent, r.percent, r.measuredFrom = t.Percent, t.Percent, now
 	}
+	e.noteCold(r)
 	if r.phase == ordered {
 		r.phase = started
 		r.worker.dirty = true
--- a/core/job/speed.go
+++ b/core/job/speed.go
@@ -179,6 +179,15 @@
 	}
 }
 
+// noteCold marks a run on a cold worker. Cold workers are slower for a while, which says
+// nothing of their speed afterwards.
+func (e *Engine) noteCold(r *run) {
+	if !r.irregular && r.worker.cold() {
+		r.irregular = true
+		e.discardObservation(r)
+	}
+}
+
 // inheritSlowness makes what is known of the earlier lifetimes of a worker's VM, the
 // oldest first, a weak prior for this one. Of equally certain priors the newest counts.
 func (e *Engine) inheritSlowness(w *Worker, earlier []*Worker) {
--- a/core/job/speed_test.go
+++ b/core/job/speed_test.go
@@ -147,6 +147,24 @@
 	is.True(s.Sigma > 0.3 && s.Sigma < 0.5)
 }
 
+// TestColdWorkersTellNothingOfSpeed guards against workers of a zone that returns to
+// service being taken as slow for good.
+func TestColdWorkersTellNothingOfSpeed(t *testing.T) {
+	is := is.New(t)
+	f := newTestCluster(t)
+	f.workers(1)
+	f.e.Submit(f.job("j", 1, step(1, 8)), f.now)
+	f.tick()
+	for i := range 5 {
+		f.report(node(0), func(r *wire.WorkerReport) {
+			r.Worker.ColdRemaining, r.Running[0].Percent = time.Minute, 10*i
+		}, nil)
+		f.now = f.now.Add(time.Second)
+	}
+	f.report(node(0), nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: wire.EndDone})
+	is.Equal(f.e.speeds.Slowness(f.e.workers[node(0)].speedKey()), estimate.New(estimate.Config{}).Slowness(""))
+}
+
 // TestNewestLifetimeCounts guards against a prior that depends on the order of a map if
 // several earlier lifetimes are known equally well.
 func TestNewestLifetimeCounts(t *testing.T) {
