Count handshakes among the descriptors, keep queues of processes without limits

Cause: a review of the limits on clients found two faults. The 256 connections that may be in their handshake on the frame port came on top of the descriptors that the listeners divide: 1,280 at a limit of 1,024, so that strangers there could make calls to the store fail. And bodies in the queue of the project's own interface held the default budget, so that a deployment without a [limits] section answered 503 after 154 MB of them, which its queue_length allows. Ruled out: a lower number of handshakes for all, since hundreds of agents reconnect to a new scheduler at once. Change: an eighth of the descriptors, 256 at most, are for handshakes, and the listeners divide the rest. In a process whose settings name no memory, kept bodies release the budget with their request. Result: TestDescriptorsAddUp and TestQueueOfProcessWithoutMemoryLimit are new; the second fails without the change of Retain. The tests of clients beyond the limits pass.

--- a/io/agent/pool.go
+++ b/io/agent/pool.go
@@ -46,6 +46,7 @@
 	HandleCancel      func(ctx context.Context, m *wire.CancelRequest) wire.Message
 	EntryAddresses    func() []netip.AddrPort // sent to each agent that connects
 	MaxConns          int                     // 0 means maxConns
+	MaxHandshakes     int                     // 0 for the default of package frame
 	OnRefused         func(cause string)      // called for each refused connection; may be nil
 }
 
@@ -87,7 +88,7 @@
 
 // frameConfig configures the entry's end of a connection.
 func (p *Pool) frameConfig() frame.Config {
-	return frame.Config{Local: p.cfg.Local, Key: p.cfg.Key, Handle: p.handle, OnRefused: p.cfg.OnRefused, Log: p.cfg.Log}
+	return frame.Config{Local: p.cfg.Local, Key: p.cfg.Key, Handle: p.handle, OnRefused: p.cfg.OnRefused, MaxHandshakes: p.cfg.MaxHandshakes, Log: p.cfg.Log}
 }
 
 func (p *Pool) onAccept(c *frame.Conn) {
--- a/io/caller/entry.go
+++ b/io/caller/entry.go
@@ -36,8 +36,9 @@
 
 	// MaxConns limits the control connections, 0 for the default. OnRefused is called
 	// with a cause for each that is refused; it may be nil.
-	MaxConns  int
-	OnRefused func(cause string)
+	MaxConns      int
+	MaxHandshakes int // 0 for the default of package frame
+	OnRefused     func(cause string)
 }
 
 // Entry is the state of one entry process.
@@ -118,6 +119,7 @@
 		EntryAddresses:    e.liveEntries,
 		MaxConns:          cfg.MaxConns,
 		OnRefused:         cfg.OnRefused,
+		MaxHandshakes:     cfg.MaxHandshakes,
 	})
 	e.peers = e.pool.NewPeers()
 	e.startRecording(cfg.TraceCalls)
--- a/io/entry/agent.go
+++ b/io/entry/agent.go
@@ -59,6 +59,7 @@
 	ResultLifetime  time.Duration // time for which finished results are retained
 	ConnectUpstream func(a upstream.Announcement) (t upstream.TaskRunner, closeIdle func())
 	MaxConns        int                // of gang leads; 0 means maxConns
+	MaxHandshakes   int                // 0 for the default of package frame
 	OnRefused       func(cause string) // called for each refused connection; may be nil
 }
 
--- a/io/entry/server.go
+++ b/io/entry/server.go
@@ -23,8 +23,8 @@
 		},
 		Key:       a.cfg.Key,
 		Handle:    a.handle,
-		OnRefused: a.cfg.OnRefused,
-		Log:       a.cfg.Log,
+		OnRefused: a.cfg.OnRefused, MaxHandshakes: a.cfg.MaxHandshakes,
+		Log: a.cfg.Log,
 	}
 }
 
--- a/io/frame/conn.go
+++ b/io/frame/conn.go
@@ -96,6 +96,10 @@
 	// which the connection is closed. If it is 0, ReadTimeout applies.
 	IdleTimeout time.Duration
 
+	// MaxHandshakes is the number of connections that may be in their handshake at a
+	// listener. If it is 0, the constant MaxHandshakes applies.
+	MaxHandshakes int
+
 	// OnRefused is called with a cause for each connection that Serve closes because a
 	// limit is reached. It may be nil, and must not block.
 	OnRefused func(cause string)
--- a/io/frame/listener.go
+++ b/io/frame/listener.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"slices"
@@ -14,17 +15,18 @@
 )
 
 const (
-	// maxHandshakes limits the connections that have not passed the handshake. It is
-	// separate from the limit of the others, so that strangers cannot use it up.
-	maxHandshakes = 256
+	// MaxHandshakes limits the connections that have not passed the handshake, unless
+	// Config.MaxHandshakes is lower. It is separate from the limit of the others, so
+	// that strangers cannot use it up.
+	MaxHandshakes = 256
 
-	// handshakeGrace is the time that each handshake gets even if maxHandshakes is
+	// handshakeGrace is the time that each handshake gets even if the limit is
 	// reached. When many peers reconnect at once, the others wait to be accepted.
 	handshakeGrace = 100 * time.Millisecond
 )
 
 // Serve accepts connections on l until it is closed. At most maxConns that have passed
-// the handshake are open; further ones are closed at once. Beyond maxHandshakes, the
+// the handshake are open; further ones are closed at once. Beyond the limit of handshakes, the
 // oldest handshake is ended in favor of a new one. Serve calls
 // onAccept for each connection that passes the handshake. When the listener is closed,
 // Serve closes its connections and returns once they have ended.
@@ -80,7 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if len(s.handshakes) >= maxHandshakes {
+	if len(s.handshakes) >= min(cmp.Or(s.cfg.MaxHandshakes, MaxHandshakes), MaxHandshakes) {
 		if now.Sub(s.handshakes[0].started) < handshakeGrace {
 			return false
 		}
--- a/io/limits/body.go
+++ b/io/limits/body.go
@@ -111,10 +111,12 @@
 }
 
 // Retain keeps the bytes of a request's body acquired after its handler has returned,
-// until the returned function is called.
+// until the returned function is called. In a process whose settings name no memory they
+// are released with the request, since its queue bounds them and may be longer than a
+// default budget allows.
 func Retain(r *http.Request) (release func()) {
 	c := connOf(r)
-	if c == nil {
+	if c == nil || !c.listener.limiter.retains {
 		return func() {}
 	}
 	c.mu.Lock()
--- a/io/limits/limits.go
+++ b/io/limits/limits.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"bramleythread/io/frame"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 )
@@ -29,14 +31,15 @@
 // memory is the bound of the whole process. The program's code and its own state
 // take about 30 MB, and the garbage collector needs as much again as is in use.
 const (
-	memoryFraction   = 0.6  // for the Go runtime; the program's code comes on top
-	bodyFraction     = 0.15 // of the memory, for bodies, their decoding and long headers
-	connFraction     = 0.15 // of the memory, for connections
-	connCost         = 24 << 10
-	reservedFiles    = 200  // descriptors for files, the store's connections and standard streams
-	httpFileFraction = 0.75 // of the other descriptors, at most; the rest is for the frame port
-	maxConns         = 4096
-	maxFiles         = 1 << 20 // where the system sets no limit
+	memoryFraction    = 0.6  // for the Go runtime; the program's code comes on top
+	bodyFraction      = 0.15 // of the memory, for bodies, their decoding and long headers
+	connFraction      = 0.15 // of the memory, for connections
+	connCost          = 24 << 10
+	reservedFiles     = 200   // descriptors for files, the store's connections and standard streams
+	handshakeFraction = 0.125 // of the other descriptors, for handshakes on the frame port
+	httpFileFraction  = 0.75  // of those left, at most; the rest is for links on the frame port
+	maxConns          = 4096
+	maxFiles          = 1 << 20 // where the system sets no limit
 )
 
 // Timeouts of a connection. A connection that makes no progress is closed.
@@ -61,27 +64,34 @@
 
 // Limiter decides on the admission of all clients of one process.
 type Limiter struct {
-	budget    *budget
-	refusals  *refusals
-	metrics   *metrics
-	httpConns int
-	peerConns int
+	budget     *budget
+	retains    bool // kept bodies count
+	refusals   *refusals
+	metrics    *metrics
+	httpConns  int
+	peerConns  int
+	handshakes int
 }
 
 // New returns the Limiter of a process.
 func New(cfg Config) *Limiter {
-	if cfg.Memory <= 0 {
+	retains := cfg.Memory > 0
+	if !retains {
 		cfg.Memory = defaultMemory
 	}
 	if cfg.Files <= 0 {
 		cfg.Files = fileLimit()
 	}
 	memory, files := max(cfg.Memory, MinMemory), max(cfg.Files, MinFiles)-reservedFiles
+	handshakes := min(frame.MaxHandshakes, int(handshakeFraction*float64(files)))
+	files -= handshakes
 	httpConns := min(maxConns, int(connFraction*float64(memory)/connCost), int(httpFileFraction*float64(files)))
 	l := &Limiter{
-		budget:    newBudget(int64(bodyFraction * float64(memory))),
-		httpConns: httpConns,
-		peerConns: files - httpConns,
+		budget:     newBudget(int64(bodyFraction * float64(memory))),
+		retains:    retains,
+		httpConns:  httpConns,
+		peerConns:  files - httpConns,
+		handshakes: handshakes,
 	}
 	l.metrics = newMetrics(cfg.Registry)
 	l.refusals = newRefusals(cfg.Log, l.metrics)
@@ -106,6 +116,10 @@
 // descriptors.
 func (l *Limiter) FrameConns() int { return l.peerConns }
 
+// Handshakes returns the number of connections of the frame port that may be in their
+// handshake, beside FrameConns.
+func (l *Limiter) Handshakes() int { return l.handshakes }
+
 // Refused counts a refusal by another package, such as a frame listener.
 func (l *Limiter) Refused(cause string) { l.refusals.add(cause) }
 
--- a/io/limits/limits_test.go
+++ b/io/limits/limits_test.go
@@ -181,3 +181,45 @@
 	var tooLarge *http.MaxBytesError
 	is.True(errors.As(err, &tooLarge))
 }
+
+// TestDescriptorsAddUp guards against listeners that together open more descriptors than
+// the process has, so that calls to the store fail.
+func TestDescriptorsAddUp(t *testing.T) {
+	for name, tt := range map[string]struct {
+		memory int64
+		files  int
+	}{
+		"least":        {memory: MinMemory, files: MinFiles},
+		"small":        {memory: 96 << 20, files: 500},
+		"as on a site": {memory: 160 << 20, files: 4100},
+		"large":        {memory: 16 << 30, files: 100_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := New(Config{Memory: tt.memory, Files: tt.files, Log: zerolog.Nop()})
+			is.True(l.httpConns > 0 && l.FrameConns() > 0 && l.Handshakes() > 0)
+			is.True(l.httpConns+l.FrameConns()+l.Handshakes()+reservedFiles <= tt.files)
+		})
+	}
+}
+
+// TestQueueOfProcessWithoutMemoryLimit guards against a default budget that refuses
+// requests which the queue of a process has room for.
+func TestQueueOfProcessWithoutMemoryLimit(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{Files: MinFiles, Log: zerolog.Nop()})
+	retained := 0
+	url := startServer(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := ReadBody(w, r, 1<<20); err == nil {
+			Retain(r)
+			retained++
+		}
+	}))
+	for range 200 { // 200 MB of kept bodies; the default budget has 154 MB
+		resp, err := http.Post(url, "", strings.NewReader(strings.Repeat(" ", 1<<20)))
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	is.Equal(retained, 200)
+}
--- a/io/operator/process_agent.go
+++ b/io/operator/process_agent.go
@@ -53,6 +53,7 @@
 		ConnectUpstream: connectUpstream,
 		MaxConns:        limiter.FrameConns(),
 		OnRefused:       limiter.Refused,
+		MaxHandshakes:   limiter.Handshakes(),
 	})
 	mux := newMux(registry, a.Ready)
 	listener := &upstream.Listener{OnAnnounce: a.HandleAnnouncement, OnLeave: a.HandleDeparture}
--- a/io/operator/process_entry.go
+++ b/io/operator/process_entry.go
@@ -37,19 +37,20 @@
 	registry := newRegistry()
 	limiter := newLimiter(s, log, registry)
 	e := caller.New(caller.Config{
-		Name:        s.Name,
-		Zone:        s.Zone,
-		Incarnation: newIncarnation(),
-		Control:     advertise,
-		Peers:       without(s.Entries, advertise),
-		Key:         s.SharedKey,
-		Store:       store,
-		Log:         log,
-		Metrics:     caller.NewMetrics(registry),
-		Policy:      schedule.DefaultPolicy(),
-		TraceCalls:  s.Trace.MaxCalls,
-		MaxConns:    limiter.FrameConns(),
-		OnRefused:   limiter.Refused,
+		Name:          s.Name,
+		Zone:          s.Zone,
+		Incarnation:   newIncarnation(),
+		Control:       advertise,
+		Peers:         without(s.Entries, advertise),
+		Key:           s.SharedKey,
+		Store:         store,
+		Log:           log,
+		Metrics:       caller.NewMetrics(registry),
+		Policy:        schedule.DefaultPolicy(),
+		TraceCalls:    s.Trace.MaxCalls,
+		MaxConns:      limiter.FrameConns(),
+		OnRefused:     limiter.Refused,
+		MaxHandshakes: limiter.Handshakes(),
 	})
 	mux := newMux(registry, e.Ready)
 	e.Register(mux)
--- a/io/operator/process_platform.go
+++ b/io/operator/process_platform.go
@@ -168,7 +168,7 @@
 	p.candidate = scheduler.Start(scheduler.Config{
 		Advise: advise,
 		Node:   s.Node, Address: s.Peers, Store: store, Log: log, Metrics: metrics,
-		MaxLinks: limiter.FrameConns(), OnRefused: limiter.Refused,
+		MaxLinks: limiter.FrameConns(), MaxHandshakes: limiter.Handshakes(), OnRefused: limiter.Refused,
 		Guarantees: p.catalog.Guarantees, Evacuation: p.catalog.Evacuation, CancelLimit: s.CancelLimit,
 		Engine: job.Config{
 			LeaseLimit: scheduler.WorkerLeaseExpiry,
--- a/io/scheduler/candidate.go
+++ b/io/scheduler/candidate.go
@@ -37,8 +37,9 @@
 
 	// MaxLinks limits the connections of agents and entries, maxLinks if it is 0.
 	// OnRefused is called with a cause for each that is refused; it may be nil.
-	MaxLinks  int
-	OnRefused func(cause string)
+	MaxLinks      int
+	MaxHandshakes int // 0 for the default of package frame
+	OnRefused     func(cause string)
 
 	// BootTime measures the time since the VM's boot. If it is nil,
 	// platform.BootTime does.
@@ -98,12 +99,13 @@
 	go func() {
 		defer close(c.served)
 		frame.Serve(l, min(cmp.Or(cfg.MaxLinks, maxLinks), maxLinks), frame.Config{
-			Local:       wire.Hello{Role: wire.RoleEntry, Name: cfg.Node, Address: cfg.Address},
-			Key:         c.key,
-			Handle:      c.handle,
-			IdleTimeout: linkIdleTimeout,
-			OnRefused:   cfg.OnRefused,
-			Log:         cfg.Log,
+			Local:         wire.Hello{Role: wire.RoleEntry, Name: cfg.Node, Address: cfg.Address},
+			Key:           c.key,
+			Handle:        c.handle,
+			IdleTimeout:   linkIdleTimeout,
+			OnRefused:     cfg.OnRefused,
+			MaxHandshakes: cfg.MaxHandshakes,
+			Log:           cfg.Log,
 		}, c.acceptConn)
 	}()
 	go c.run(ctx)
