Split the reports of workers from the runs they change

Ruled out: changes of code; only files are split and renamed. Change: run.go has what places, ends and completes runs; observation.go tells the estimator of runs; speed.go places by speed.

--- a/core/job/speed.go
+++ b/core/job/speed.go
@@ -1,220 +1,226 @@
 package job
 
 import (
+	"cmp"
+	"math"
 	"slices"
-	"strconv"
 	"time"
+)
+
+const (
+	// speedClassWidth is the width of a speed class in natural logarithms of the
+	// slowness: workers that differ by less than a fifth are treated alike.
+	speedClassWidth = 0.25
+
+	// minSpeedRatio is the ratio between the slowest and the fastest worker from which
+	// on speeds matter to placement. Smaller differences are within the spread of run
+	// times, and the shape of the free room matters more.
+	minSpeedRatio = 1.5
+
+	// maxKnownSigma is the standard deviation of a slowness, as a logarithm, up to
+	// which it counts as known. Two or three runs lead there.
+	maxKnownSigma = 0.25
+
+	// slackShare is the share of the allowed slowness that workers may have. The rest
+	// covers the error of the forecast.
+	slackShare = 0.85
+
+	// maxSpeedWait bounds the wait of urgent work for faster workers. Urgent work within
+	// a guarantee must start within a few seconds, and the wait may be followed by a
+	// preemption.
+	maxSpeedWait = 1200 * time.Millisecond
 
-	"bramleythread/core/estimate"
-	"bramleythread/io/wire"
+	// startDelay is the time from a placement to the start of its runs, and from their
+	// end to the moment when callers see it: transactions and messages.
+	startDelay = 150 * time.Millisecond
 )
 
-// estimatedWork describes the stage's tasks to Engine.speeds.
-func (s *stage) estimatedWork() estimate.Work {
-	if s.work.Step == "" {
-		s.work = estimate.Work{
-			Step:  s.job.ID + "/" + strconv.Itoa(s.key.occurrence) + "/" + strconv.Itoa(s.key.step),
-			Queue: s.job.Queue, Customer: s.job.Customer, Image: s.step.Image, Tasks: s.step.Count,
-			Demand: s.step.Demand, Gang: s.step.Gang, Estimate: s.step.Estimate,
-		}
-	}
-	return s.work
+// speed is what is known of a worker's speed in one tick.
+type speed struct {
+	slowness float64 // factor of run times relative to a worker of ordinary speed
+	class    int     // equal for workers of like speed, lower for faster ones
 }
 
-// speedKey identifies the worker's lifetime in Engine.speeds.
-func (w *Worker) speedKey() string {
-	if w.speedID == "" {
-		w.speedID = w.Node + " " + w.Instance + " " + strconv.FormatInt(w.Born, 10)
-	}
-	return w.speedID
-}
+// unknownSpeed is the class of workers of unknown speed, whose slowness is 1.
+const unknownSpeed = math.MaxInt
 
-// speedKey identifies the run in Engine.speeds. The members of a gang are one run.
-func (r *run) speedKey() string {
-	if r.speedID == "" {
-		id := r.task.stage.estimatedWork().Step
-		if !r.task.stage.step.Gang {
-			id += "/" + strconv.Itoa(r.task.index)
-		}
-		r.speedID = id + "#" + strconv.Itoa(r.number)
+// speedOf returns what is known of the worker's speed. A difference that is smaller than
+// its uncertainty counts as none, so that equal workers are treated alike.
+func (e *Engine) speedOf(w *Worker) speed {
+	if e.cfg.Policy.NoSpeeds {
+		return speed{slowness: 1}
+	}
+	if slowness, ok := e.knownSlowness(w); ok {
+		return speed{slowness: slowness, class: speedClass(math.Log(slowness))}
+	}
+	s := e.speeds.Slowness(w.speedKey())
+	switch {
+	case s.Sigma > maxKnownSigma:
+		return speed{slowness: 1, class: unknownSpeed}
+	case math.Abs(s.Log) <= s.Sigma:
+		return speed{slowness: 1}
+	default:
+		return speed{slowness: math.Exp(s.Log), class: speedClass(s.Log)}
 	}
-	return r.speedID
 }
 
-// members returns the runs of the run's gang, or the run alone.
-func (r *run) members() []*run {
-	s := r.task.stage
-	if !s.step.Gang {
-		return []*run{r}
-	}
-	members := make([]*run, 0, len(s.tasks))
-	for _, t := range s.tasks {
-		if t.run != nil && t.run.number == r.number {
-			members = append(members, t.run)
-		}
+func speedClass(logSlowness float64) int { return int(math.Round(logSlowness / speedClassWidth)) }
+
+// updateSpeeds reads the speeds of all workers for one tick.
+func (e *Engine) updateSpeeds() {
+	slowest, fastest := math.Inf(-1), math.Inf(1)
+	for _, w := range e.sortedWorkers {
+		w.speed = e.speedOf(w)
+		slowest, fastest = max(slowest, w.speed.slowness), min(fastest, w.speed.slowness)
 	}
-	return members
+	e.speedsDiffer = slowest > fastest*minSpeedRatio
 }
 
-func speedIDs(runs []*run) []string {
-	ids := make([]string, len(runs))
-	for i, r := range runs {
-		ids[i] = r.worker.speedKey()
+// allowedSlowness returns the slowness up to which a worker finishes the stage's tasks
+// safely within the objective of their job, if they start now. Later steps of the job
+// keep their share of the objective.
+func (e *Engine) allowedSlowness(s *stage, now time.Time) float64 {
+	run := e.expectedRunTime(s)
+	if run <= 0 || s.step.LongRunning {
+		return math.Inf(1)
 	}
-	return ids
+	laterSteps := time.Duration(len(s.job.Steps)-1-s.key.step) * run
+	left := s.dueTime().Add(e.objective(s.job)).Sub(now) - startDelay - laterSteps
+	return slackShare * float64(left) / float64(run)
 }
 
-// observeProgress tells Engine.speeds of a run's progress. A gang is observed by its
-// member that started last, since it makes no progress before.
-func (e *Engine) observeProgress(r *run) {
-	if r.phase == stopping || r.task.done || !e.tellsOfSpeed(r) {
+// limitSlowness decides in this tick which workers are fast enough for the stage. It
+// answers a load of urgent work on workers of unequal speed: work that a slow worker
+// would finish too late waits for faster workers, or preempts less urgent work there,
+// if it then finishes in time or at least earlier.
+func (e *Engine) limitSlowness(s *stage, n int, now time.Time) {
+	s.maxSlowness, s.waitsForSpeed = 0, false
+	if !e.speedsDiffer || s.step.LongRunning || s.job.Priority == 0 && now.Sub(s.firstReadyAt()) > maxSpeedWait {
 		return
 	}
-	members := r.members()
-	if lastStarted(members) != r || !r.regular(members) {
+	allowed := e.allowedSlowness(s, now)
+	if allowed < 1 || !slices.ContainsFunc(e.sortedWorkers, func(w *Worker) bool { return w.speed.slowness > allowed && e.eligible(w, s, now) }) {
 		return
 	}
-	e.speeds.Observe(estimate.Observation{
-		Work: r.task.stage.estimatedWork(), Workers: speedIDs(members), Run: r.speedKey(),
-		Elapsed: r.progressAt.Sub(r.measuredFrom), Share: r.shareDone(),
-	})
-}
-
-// shareDone returns the share of the task's work that the run has done since
-// measuredFrom. Workers round the percentage down, which matters only if the run began
-// with nothing done.
-func (r *run) shareDone() float64 {
-	share := float64(r.percent-r.firstPercent) / completePercent
-	if r.firstPercent == 0 && share > 0 {
-		share += 0.5 / completePercent
-	}
-	return share
-}
-
-// observeEnd tells Engine.speeds how a run ended. The caller has not detached the run
-// yet. Runs that failed or stalled tell nothing; those that were stopped for another
-// reason count with what they have done. It returns the time of the whole work if the
-// run has shown it.
-func (e *Engine) observeEnd(r *run, how wire.RunEnd, now time.Time) time.Duration {
+	anyWorker := e.earliestFinish(s, n, now)
+	s.maxSlowness = allowed
+	limited := e.earliestFinish(s, n, now)
 	switch {
-	case how == wire.EndFailed || r.stopCause == stalledCause || r.irregular:
-		e.discardObservation(r)
-		return 0
-	case how != wire.EndDone || r.task.done || !e.tellsOfSpeed(r):
-		e.speeds.End(r.speedKey())
-		return 0
-	}
-	members := r.members()
-	last := lastStarted(members)
-	if last == nil || last.resumed && last.firstPercent == 0 || !r.regular(members) {
-		e.discardObservation(r)
-		return 0
-	}
-	elapsed, share := now.Sub(last.measuredFrom), float64(completePercent-last.firstPercent)/completePercent
-	e.speeds.Observe(estimate.Observation{
-		Work: r.task.stage.estimatedWork(), Workers: speedIDs(members), Run: r.speedKey(),
-		Elapsed: elapsed, Share: share, Finished: true,
-	})
-	e.speeds.End(r.speedKey()) // in case the observation was too short to count
-	if share < minTimedShare {
-		return 0
-	}
-	return time.Duration(float64(elapsed) / share)
-}
-
-// minTimedShare is the least share of its task's work from which a run tells how long
-// the whole work takes.
-const minTimedShare = 0.1
-
-func (e *Engine) discardObservation(r *run) { e.speeds.Discard(r.speedKey()) }
-
-// lastStarted returns the run that started last, or nil if not all have started.
-func lastStarted(runs []*run) *run {
-	var last *run
-	for _, r := range runs {
-		if r.startedAt.IsZero() {
-			return nil
-		}
-		if last == nil || r.startedAt.After(last.startedAt) {
-			last = r
-		}
+	case limited.IsZero():
+		s.maxSlowness = 0
+	case !limited.After(s.dueTime().Add(e.objective(s.job))):
+		s.waitsForSpeed = true
+	case !e.preemptsForSpeed(s, n, now) && !limited.Before(anyWorker):
+		s.maxSlowness = 0
 	}
-	return last
 }
 
-// tellsOfSpeed reports whether the run's kind of work has a run time that depends on
-// the step and the worker alone.
-func (e *Engine) tellsOfSpeed(r *run) bool {
-	step := r.task.stage.step
-	return !e.cfg.Policy.NoSpeeds && !step.LongRunning && !step.UsesSpareCPU
+// firstReadyAt returns when the stage's tasks could first be placed. For the first step
+// that is the acceptance of the job, since the guarantee counts from there and the stage
+// may have been created later, by a new scheduler.
+func (s *stage) firstReadyAt() time.Time {
+	if len(s.step.After) == 0 {
+		return s.dueTime()
+	}
+	return s.readyAt
 }
 
-// regular reports whether the runs of a gang, or the run alone, are near their data and
-// on workers of which nothing suggests that they are disturbed.
-func (r *run) regular(members []*run) bool {
-	s := r.task.stage
-	if s.step.Gang && len(members) < len(s.tasks) {
+// preemptsForSpeed reports whether the stage can make room on faster workers by stopping
+// less urgent work that loses less than the stage's own work.
+func (e *Engine) preemptsForSpeed(s *stage, n int, now time.Time) bool {
+	if s.job.Priority > 0 || s.heldTasks != nil || e.cfg.Policy.NoReclaim {
 		return false
 	}
-	for _, m := range members {
-		if m.irregular || !m.worker.health.isProven() {
-			return false
+	stoppable, _ := e.stoppableFor(s, now)
+	plan := e.cheapestPreemption(s, n, stoppable, now)
+	return plan != nil && plan.lostWork <= e.workOf(s, n)
+}
+
+// earliestFinish returns when n tasks of the stage would end if they waited for room on
+// the workers that it accepts, or the zero time if they never fit there.
+func (e *Engine) earliestFinish(s *stage, n int, now time.Time) time.Time {
+	var earliest time.Time
+	run := float64(e.expectedRunTime(s))
+	for _, set := range e.workerSets(s, now) {
+		r := e.earliestReservation(s, set, n, now)
+		if r == nil {
+			continue
+		}
+		pace := 0.0
+		for w := range r.tasksPerWorker {
+			pace = max(pace, w.speed.slowness)
 		}
-		if s.step.DataRack != "" && m.worker.Rack != s.step.DataRack || s.step.SameRack && m.worker.Rack != members[0].worker.Rack {
-			return false
+		if end := r.startAt.Add(time.Duration(run * pace)); earliest.IsZero() || end.Before(earliest) {
+			earliest = end
 		}
 	}
-	return true
-}
-
-// stalledCause is the cause of the stop of a stalled run.
-const stalledCause = "stalled"
-
-// noteStall marks a run that makes progress again after it has shown none for half of
-// the time after which it is stopped.
-func (e *Engine) noteStall(r *run) {
-	if !r.irregular && r.stalledFor > e.stallTimeout(r)/2 {
-		r.irregular = true
-		e.discardObservation(r)
+	return earliest
+}
+
+// acceptsSpeed reports whether the worker is fast enough for the stage in this tick.
+func (s *stage) acceptsSpeed(w *Worker) bool {
+	return s.maxSlowness == 0 || w.speed.slowness <= s.maxSlowness
+}
+
+// speedOrder returns a function that ranks speed classes in the order in which the stage
+// takes their workers. It answers a mix of work with and without slack: work with slack
+// goes to workers of unknown speed, which it makes known, then to the slowest ones that
+// are fast enough, and so leaves the fastest ones to work without slack. That takes
+// workers known to be fast enough first.
+func (e *Engine) speedOrder(s *stage, now time.Time) func(class int) int {
+	allowed := math.Inf(1)
+	if !s.step.LongRunning {
+		allowed = e.allowedSlowness(s, now)
+	}
+	return func(class int) int {
+		switch {
+		case class == unknownSpeed && allowed > riskySlowness:
+			return -maxSpeedClass
+		case class == unknownSpeed:
+			return maxSpeedClass
+		case math.Exp(float64(class)*speedClassWidth) <= allowed:
+			return -class
+		default:
+			return 2*maxSpeedClass + class
+		}
 	}
 }
 
-// noteCold marks a run on a cold worker. Cold workers are slower for a while, which says
-// nothing of their speed afterwards.
-func (e *Engine) noteCold(r *run) {
-	if !r.irregular && r.worker.cold() {
-		r.irregular = true
-		e.discardObservation(r)
-	}
-}
+const (
+	// riskySlowness is the slowness that a worker of unknown speed may well have.
+	riskySlowness = 2.0
 
-// inheritSlowness makes what is known of the earlier lifetimes of a worker's VM, the
-// oldest first, a weak prior for this one. Of equally certain priors the newest counts.
-func (e *Engine) inheritSlowness(w *Worker, earlier []*Worker) {
-	for _, other := range slices.Backward(earlier) {
-		e.speeds.SetPrior(w.speedKey(), e.speeds.Slowness(other.speedKey()).NextLifetime())
-		e.speeds.Forget(other.speedKey())
-	}
-}
+	// maxSpeedClass is greater than any known speed class.
+	maxSpeedClass = 1000
+)
 
-// slownessOf returns what is known of the worker's speed, for its agent to keep.
-func (e *Engine) slownessOf(w *Worker) *wire.WorkerSlowness {
-	s := e.speeds.Slowness(w.speedKey())
-	if e.cfg.Policy.NoSpeeds || !s.Valid() {
+// bySpeed divides candidates into sets in which a gang is tried, in this order: each
+// class of workers of like speed by itself, since the slowest member of a gang sets its
+// pace and wastes the speed of the others, then the classes together, from the preferred
+// ones on.
+func (e *Engine) bySpeed(s *stage, c []candidate, now time.Time) [][]candidate {
+	if !e.speedsDiffer {
 		return nil
 	}
-	return &wire.WorkerSlowness{Model: estimate.ModelVersion, Born: w.Born, Log: s.Log, Sigma: s.Sigma}
-}
-
-// restoreSlowness makes what an agent has kept of its worker a prior. It is a weak one
-// if it was learned in an earlier lifetime.
-func (e *Engine) restoreSlowness(w *Worker, kept *wire.WorkerSlowness) {
-	if kept == nil || kept.Model != estimate.ModelVersion {
-		return
+	byClass := make(map[int][]candidate)
+	var classes []int
+	for _, x := range c {
+		class := x.w.speed.class
+		if byClass[class] == nil {
+			classes = append(classes, class)
+		}
+		byClass[class] = append(byClass[class], x)
+	}
+	order := e.speedOrder(s, now)
+	slices.SortFunc(classes, func(a, b int) int { return cmp.Compare(order(a), order(b)) })
+	var sets [][]candidate
+	for _, class := range classes {
+		sets = append(sets, byClass[class])
 	}
-	s := estimate.Slowness{Log: kept.Log, Sigma: kept.Sigma}
-	if kept.Born != w.Born {
-		s = s.NextLifetime()
+	var union []candidate
+	for _, class := range classes {
+		union = append(slices.Clone(union), byClass[class]...)
+		sets = append(sets, union)
 	}
-	e.speeds.SetPrior(w.speedKey(), s)
+	return sets
 }
