Answer the first request of a new connection at a planned stop

Callers saw a connection closed without an answer: a client had connected to an entry that was stopping, and the last bytes of its request were read 60 ms after the entry had begun to close its listeners.

Cause: http.Server.Shutdown waits for a new connection, but once it has begun, a request that is then read is dropped and the connection is closed.

A trace of the connection's states: new at 31.160 s, the listeners closed at 31.300 s, active and closed at 31.362 s, no handler called. Ruled out: the limits on clients, which are not in, and requests in the queue of the kernel, which were read.

Change: before Shutdown the server waits for the first requests of the connections that are new at that time, for at most 1 s and a third of the time for the stop.

Result: TestShutdownAnswersRequestThatIsArriving fails without the wait (unexpected EOF in 2 of 2) and passes 5 times in a row with it.

--- a/io/limits/limits.go
+++ b/io/limits/limits.go
@@ -142,7 +142,13 @@
 	s.ReadTimeout = stallTimeout // extended as the body arrives
 	s.IdleTimeout = idleTimeout
 	s.MaxHeaderBytes = MaxHeader
-	s.ConnState = connStateChanged
+	onState := s.ConnState
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		connStateChanged(c, state)
+		if onState != nil {
+			onState(c, state)
+		}
+	}
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -26,7 +26,8 @@
 	server    *http.Server
 	addr      netip.AddrPort
 	interrupt context.CancelFunc // ends the contexts of all requests
-	done      chan struct{}      // closed when the server has stopped
+	newConns  newConns
+	done      chan struct{} // closed when the server has stopped
 }
 
 // webConfig configures an HTTP listener.
@@ -46,11 +47,11 @@
 	}
 	ctx, interrupt := context.WithCancel(context.Background())
 	w := &webServer{
-		server:    &http.Server{BaseContext: func(net.Listener) context.Context { return ctx }},
 		addr:      bound,
 		interrupt: interrupt,
 		done:      make(chan struct{}),
 	}
+	w.server = &http.Server{BaseContext: func(net.Listener) context.Context { return ctx }, ConnState: w.newConns.update}
 	go func() {
 		defer close(w.done)
 		defer interrupt()
@@ -74,13 +75,20 @@
 // to be answered after their contexts have ended.
 const answerTime = 300 * time.Millisecond
 
+// maxFirstRequestWait bounds the wait of a shutdown for the first requests of new
+// connections: a client that has connected sends its request within some round trips.
+const maxFirstRequestWait = time.Second
+
 // shutdown waits for the requests in flight. Shortly before the limit it ends their
 // contexts, so that they are answered, and at the limit it closes their connections.
+// A new connection whose request is still arriving is waited for first, since
+// [http.Server.Shutdown] drops requests that it reads once it has begun.
 func (w *webServer) shutdown(limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	t := time.AfterFunc(limit-min(answerTime, limit/2), w.interrupt)
 	defer t.Stop()
+	w.newConns.wait(min(maxFirstRequestWait, limit/3))
 	if err := w.server.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
 		_ = w.server.Close()
 	}
