Use the usual terms in the forecasts' tests and the admission forecast

Cause: a reader of the diff met figurative names (lying, crest) and a function without a doc comment. Ruled out: changes of behaviour. Change: names and comments only.

--- a/core/estimate/estimator_test.go
+++ b/core/estimate/estimator_test.go
@@ -160,14 +160,14 @@
 // TestWrongEstimates guards against estimates that are believed although they are wrong,
 // and against useful ones that are ignored.
 func TestWrongEstimates(t *testing.T) {
-	for name, tt := range map[string]struct{ lying, bias, spread, limit float64 }{
-		"too low by half and scattered": {lying: 0.9, bias: -0.7, spread: 0.4, limit: 0.48}, // sqrt(0.4² + 0.2²) without any
-		"good, and the queue is mixed":  {lying: 0.3, bias: 0, spread: 0.9, limit: 0.5},     // 0.92 without any
+	for name, tt := range map[string]struct{ estimateError, bias, spread, limit float64 }{
+		"too low by half and scattered": {estimateError: 0.9, bias: -0.7, spread: 0.4, limit: 0.48}, // sqrt(0.4² + 0.2²) without any
+		"good, and the queue is mixed":  {estimateError: 0.3, bias: 0, spread: 0.9, limit: 0.5},     // 0.92 without any
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			p := newPlay(1, make([]float64, 10))
-			p.lying, p.bias, p.spread = tt.lying, tt.bias, tt.spread
+			p.estimateError, p.bias, p.spread = tt.estimateError, tt.bias, tt.spread
 			var squares float64
 			for k := range 400 {
 				w, u := p.step(1)
--- a/core/estimate/play_test.go
+++ b/core/estimate/play_test.go
@@ -13,13 +13,13 @@
 // play is a load whose run times are drawn from the model.
 type play struct {
 	*Estimator
-	random *rand.Rand
-	logs   []float64 // true s by worker
-	steps  int
-	spread float64 // of the steps of the queue
-	noise  float64 // of the tasks of a step
-	lying  float64 // spread of the callers' estimates
-	bias   float64 // of the callers' estimates
+	random        *rand.Rand
+	logs          []float64 // true s by worker
+	steps         int
+	spread        float64 // of the steps of the queue
+	noise         float64 // of the tasks of a step
+	estimateError float64 // spread of the callers' estimates
+	bias          float64 // of the callers' estimates
 }
 
 func newPlay(seed uint64, logs []float64) *play {
@@ -46,8 +46,8 @@
 	p.steps++
 	u := math.Log(4) + p.spread*p.random.NormFloat64()
 	w := Work{Step: fmt.Sprintf("job-%d/0", p.steps), Queue: "q", Customer: "c", Image: "i", Tasks: tasks, Demand: wire.Resources{CPU: 1000, Accelerators: 1}}
-	if p.lying > 0 {
-		w.Estimate = seconds(u + p.bias + p.lying*p.random.NormFloat64())
+	if p.estimateError > 0 {
+		w.Estimate = seconds(u + p.bias + p.estimateError*p.random.NormFloat64())
 	}
 	return w, u
 }
--- a/core/job/admission.go
+++ b/core/job/admission.go
@@ -13,7 +13,7 @@
 
 // AdmissionForecast returns the earliest time at which a job that is not submitted yet
 // could start, and whether it is worth holding: whether it could then end before it
-// loses all value. It addresses a crest that wants far more than the fleet has: a job
+// loses all value. It addresses a surge that wants far more than the fleet has: a job
 // that is held without a chance costs its caller the time to ask elsewhere.
 //
 // The forecast is optimistic, so that nothing is refused that could be served: the work
--- a/core/job/admission_test.go
+++ b/core/job/admission_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 )
 
-// TestAdmissionForecast plays a crest: the workers are full and jobs of one customer
+// TestAdmissionForecast plays a surge: the workers are full and jobs of one customer
 // wait for many times the time in which a new job has any value. It guards against
 // holding such a job, against refusing what may still be served, and against a forecast
 // that changes the tables.
@@ -25,14 +25,14 @@
 	}{
 		"idle fleet":                    {workers: 2, queued: 1, priority: 1, step: step(1, 8), worthwhile: true},
 		"short queue":                   {workers: 2, waiting: 6, queued: 1, priority: 1, step: step(1, 8), worthwhile: true},
-		"crest":                         {workers: 2, waiting: 60, queued: 1, priority: 1, step: step(1, 8)},
+		"surge":                         {workers: 2, waiting: 60, queued: 1, priority: 1, step: step(1, 8)},
 		"urgent work precedes others":   {workers: 2, waiting: 60, queued: 1, step: step(1, 8), priority: 0, worthwhile: true},
 		"guarantee":                     {workers: 2, waiting: 60, queued: 0, step: step(1, 8), guaranteed: 8, worthwhile: true},
 		"guarantee for a part":          {workers: 2, waiting: 60, queued: 0, step: step(2, 8), guaranteed: 8},
 		"no worker has reported":        {waiting: 60, queued: 1, priority: 1, step: step(1, 8), worthwhile: true},
 		"larger than all workers":       {workers: 2, queued: 1, priority: 1, step: gang(3, 8), worthwhile: true},
 		"long-running work":             {workers: 2, waiting: 60, queued: 1, priority: 1, step: wire.JobStep{Count: 1, LongRunning: true}, worthwhile: true},
-		"waiting for more than a crest": {workers: 2, waiting: 600, queued: 1, priority: 1, step: gang(2, 8)},
+		"waiting for more than a surge": {workers: 2, waiting: 600, queued: 1, priority: 1, step: gang(2, 8)},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -25,7 +25,7 @@
 	NoEjection bool
 
 	// NoSpeeds forecasts run times as one mean per queue, regardless of the worker,
-	// instead of by core/estimate.
+	// instead of by core/estimate, and places work regardless of the workers' speeds.
 	NoSpeeds bool
 
 	// NoShares serves the jobs of a priority in order of acceptance regardless of
--- a/core/job/speed.go
+++ b/core/job/speed.go
@@ -37,7 +37,7 @@
 
 // speed is what is known of a worker's speed in one tick.
 type speed struct {
-	slowness float64 // factor of run times relative to a worker of ordinary speed
+	slowness float64 // factor of run times relative to a worker of median speed
 	class    int     // equal for workers of like speed, lower for faster ones
 }
 
@@ -64,6 +64,7 @@
 	}
 }
 
+// speedClass returns the class of a slowness, given as its natural logarithm.
 func speedClass(logSlowness float64) int { return int(math.Round(logSlowness / speedClassWidth)) }
 
 // updateSpeeds reads the speeds of all workers for one tick.
