Give urgent work the fastest known workers

Change: work without slack takes the fastest known workers first, since its run time may exceed the forecast by far. Speeds matter from a ratio of 2 on, so that sites whose workers differ by less are placed as before.

--- a/core/job/speed.go
+++ b/core/job/speed.go
@@ -15,7 +15,7 @@
 	// minSpeedRatio is the ratio between the slowest and the fastest worker from which
 	// on speeds matter to placement. Smaller differences are within the spread of run
 	// times, and the shape of the free room matters more.
-	minSpeedRatio = 1.5
+	minSpeedRatio = 2.0
 
 	// maxKnownSigma is the standard deviation of a slowness, as a logarithm, up to
 	// which it counts as known. Two or three runs lead there.
@@ -166,23 +166,26 @@
 // speedOrder returns a function that ranks speed classes in the order in which the stage
 // takes their workers. It answers a mix of work with and without slack: work with slack
 // goes to workers of unknown speed, which it makes known, then to the slowest ones that
-// are fast enough, and so leaves the fastest ones to work without slack. That takes
-// workers known to be fast enough first.
+// are fast enough, and so leaves the fastest ones to work without slack. That takes the
+// fastest known workers first, because its run time may exceed the forecast.
 func (e *Engine) speedOrder(s *stage, now time.Time) func(class int) int {
 	allowed := math.Inf(1)
 	if !s.step.LongRunning {
 		allowed = e.allowedSlowness(s, now)
 	}
+	slack := allowed > riskySlowness
 	return func(class int) int {
 		switch {
-		case class == unknownSpeed && allowed > riskySlowness:
+		case class == unknownSpeed && slack:
 			return -maxSpeedClass
 		case class == unknownSpeed:
 			return maxSpeedClass
-		case math.Exp(float64(class)*speedClassWidth) <= allowed:
+		case math.Exp(float64(class)*speedClassWidth) > allowed:
+			return 2*maxSpeedClass + class
+		case slack:
 			return -class
 		default:
-			return 2*maxSpeedClass + class
+			return class
 		}
 	}
 }
--- a/core/job/speed_test.go
+++ b/core/job/speed_test.go
@@ -44,6 +44,8 @@
 		"urgent gang on fast workers":            {slowness: []float64{2.4, 1, 1}, stretch: 1.5, tasks: 2, gang: true, expected: []string{"node-1", "node-2"}},
 		"urgent task on a fast worker":           {slowness: []float64{2.4, 2.4, 1}, stretch: 1.5, tasks: 1, expected: []string{"node-2"}},
 		"gang with slack on slow workers":        {slowness: []float64{1, 2.4, 2.4}, stretch: 4, tasks: 2, gang: true, expected: []string{"node-1", "node-2"}},
+		"urgent task on the fastest worker":      {slowness: []float64{1.15, 0.5, 1.15}, stretch: 1.5, tasks: 1, expected: []string{"node-1"}},
+		"less than twice as slow":                {slowness: []float64{1.2, 0.8, 1}, stretch: 4, tasks: 1, expected: []string{"node-0", "node-1", "node-2"}},
 		"task with slack on a slow worker":       {slowness: []float64{1, 2.4, 1}, stretch: 4, tasks: 1, expected: []string{"node-1"}},
 		"gang of like speed rather than best":    {slowness: []float64{2.4, 1, 1}, stretch: 4, tasks: 2, gang: true, expected: []string{"node-1", "node-2"}},
 		"urgent gang too large for fast workers": {slowness: []float64{2.4, 1, 1}, stretch: 1.5, tasks: 3, gang: true, expected: []string{"node-0", "node-1", "node-2"}},
