--- a/review/_lab2/case_wide.go
+++ b/review/_lab2/case_wide.go
@@ -21,14 +21,16 @@
 // memoryWatch ends the processes of entries that exceed the memory of their machines, as
 // the platform does, and starts them again.
 type memoryWatch struct {
-	s    *system
-	peak []int
-	ends []int
-	dark []time.Time // when an entry was ended, if it is not started again yet
+	s        *system
+	machines []*machine
+	limit    int // MB
+	peak     []int
+	ends     []int
+	dark     []time.Time // when an entry was ended, if it is not started again yet
 }
 
 func (w *memoryWatch) look() {
-	for i, m := range w.s.entries {
+	for i, m := range w.machines {
 		if !w.dark[i].IsZero() {
 			if time.Since(w.dark[i]) > restartTime {
 				w.dark[i] = time.Time{}
@@ -40,10 +42,10 @@
 		if m.running() {
 			mb = m.rssMb()
 			w.peak[i] = max(w.peak[i], mb)
-			if mb <= w.s.memoryMb {
+			if mb <= w.limit {
 				continue
 			}
-			w.s.rec.add("%s: %d MB of %d, ended by the platform", m.name, mb, w.s.memoryMb)
+			w.s.rec.add("%s: %d MB of %d, ended by the platform", m.name, mb, w.limit)
 			m.kill()
 		} else {
 			w.s.rec.add("%s: has ended", m.name)
@@ -71,7 +73,7 @@
 	if err := s.start(2, 2); err != nil {
 		return outcome{}, err
 	}
-	w := &memoryWatch{s: s, peak: make([]int, len(s.entries)), ends: make([]int, len(s.entries)), dark: make([]time.Time, len(s.entries))}
+	w := &memoryWatch{s: s, machines: s.entries, limit: s.memoryMb, peak: make([]int, len(s.entries)), ends: make([]int, len(s.entries)), dark: make([]time.Time, len(s.entries))}
 	var accepted, refused, unanswered atomic.Int64
 	if trouble {
 		go crowd(s, &accepted, &refused, &unanswered)
