--- a/review/_lab2/case_cancel.go
+++ b/review/_lab2/case_cancel.go
@@ -20,7 +20,7 @@
 // answers no call for a little over cancel_ms. No task of the job may start later than
 // cancel_ms after the cancellation was acknowledged.
 func playCancel(s *system, trouble bool) (outcome, error) {
-	if err := s.start(2, 1); err != nil {
+	if err := s.start(2, 3); err != nil {
 		return outcome{}, err
 	}
 	leader, other, err := s.scheduler()
@@ -28,22 +28,25 @@
 		return outcome{}, err
 	}
 	id := jobID()
-	w := s.cluster.workers[0]
 	ordered := make(chan struct{})
 	var once sync.Once
-	var hangUntil atomic.Int64 // of the record's time
-	w.onCall = func(path string) {
-		if path == "/-/run-start" {
-			once.Do(func() {
-				if trouble {
-					hangUntil.Store(int64(s.rec.now() + hangTime))
-					s.rec.add("%s: answers no call for %v", w.name, hangTime)
-				}
-				close(ordered)
-			})
+	s.cluster.mu.Lock()
+	for _, w := range s.cluster.workers {
+		var hangUntil atomic.Int64 // of the record's time
+		w.onCall = func(path string) {
+			if path == "/-/run-start" {
+				once.Do(func() {
+					if trouble {
+						hangUntil.Store(int64(s.rec.now() + hangTime))
+						s.rec.add("%s: answers no call for %v", w.name, hangTime)
+					}
+					close(ordered)
+				})
+			}
 		}
+		w.hangs = func(string) bool { return int64(s.rec.now()) < hangUntil.Load() }
 	}
-	w.hangs = func(string) bool { return int64(s.rec.now()) < hangUntil.Load() }
+	s.cluster.mu.Unlock()
 	if !s.submit(other, id, jobSpec{work: 2 * time.Second}, step{"Count": 1, "Cpu": 13000, "MemMb": 26000, "Gpu": 8, "EstimatedMs": 2000}) {
 		return outcome{}, fmt.Errorf("the job was not accepted")
 	}
