--- a/review/_lab2/store.go
+++ b/review/_lab2/store.go
@@ -13,6 +13,8 @@
 // Limits of the store.
 const (
 	txTime      = 3 * time.Millisecond
+	answerTime  = 4 * time.Millisecond // of a read
+	pageBytes   = 1 << 20              // of an answer
 	maxPageRows = 500
 	maxEntries  = 100
 )
@@ -145,6 +147,7 @@
 	if n, err := strconv.Atoi(q.Get("Limit")); err == nil && n > 0 && n < limit {
 		limit = n
 	}
+	time.Sleep(answerTime)
 	s.mu.Lock()
 	rows := []row{}
 	for id, x := range s.rows {
@@ -156,8 +159,10 @@
 	s.mu.Unlock()
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
 	size, n := 0, 0
-	for n < len(rows) && n < limit && size < 1<<20 {
-		size += len(rows[n].Value) + 100
+	for n < len(rows) && n < limit {
+		if size += len(rows[n].Value)*4/3 + 100; size > pageBytes && n > 0 {
+			break
+		}
 		n++
 	}
 	s.answer(w, http.StatusOK, map[string]any{"rows": rows[:n], "HasMore": n < len(rows), "Ver": ver})
