Start no process after a case of the second review has ended

Cause: a trial that is not part of the review left two entries running; a restart that was due could come after the end of a case.

--- a/review/_lab2/system.go
+++ b/review/_lab2/system.go
@@ -38,6 +38,9 @@
 	entries []*machine
 	agents  []*machine
 
+	startMu sync.Mutex
+	stopped bool // no process is started any more
+
 	attempts int // of the queue
 	memoryMb int // of an entry
 }
@@ -246,8 +249,14 @@
 	return m, os.WriteFile(m.file, []byte(text), 0o600)
 }
 
-// start starts the machine's process with the command of the deploy file.
+// start starts the machine's process with the command of the deploy file, unless it runs
+// or the case has ended.
 func (m *machine) start() error {
+	m.s.startMu.Lock()
+	defer m.s.startMu.Unlock()
+	if m.s.stopped || m.running() {
+		return nil
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	log, err := os.OpenFile(filepath.Join(m.s.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -319,6 +328,9 @@
 
 // stop ends all processes that the case has started.
 func (s *system) stop() {
+	s.startMu.Lock()
+	s.stopped = true
+	s.startMu.Unlock()
 	for _, m := range append(append([]*machine(nil), s.entries...), s.agents...) {
 		if m.running() {
 			_ = m.cmd.Process.Kill()
