Log what each failed run adds to the attempts of its task or gang

The log had two run_end lines and the end of the job, which fits a run that two schedulers count, an end that is processed twice, and a second run that failed. Change: attempt_failed names the task, the run and the count so far, or that the run was counted with its gang. It is counted as a decision and is part of explain.

--- a/core/job/run.go
+++ b/core/job/run.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"time"
 
 	"bramleythread/io/wire"
@@ -109,6 +110,7 @@
 	failures := &t.failures
 	if s.step.Gang {
 		if r.number == s.failedRun {
+			e.recordFailureCount(r, "counted_with_its_gang", now)
 			return
 		}
 		s.failedRun = r.number
@@ -116,11 +118,22 @@
 		s.lastFailed = t.lastFailed
 	}
 	*failures++
-	if *failures >= s.job.Attempts && !s.step.LongRunning {
+	if s.step.LongRunning {
+		e.recordFailureCount(r, fmt.Sprintf("%d_without_limit", *failures), now)
+		return
+	}
+	e.recordFailureCount(r, fmt.Sprintf("%d_of_%d", *failures, s.job.Attempts), now)
+	if *failures >= s.job.Attempts {
 		e.endJob(s.job, wire.JobFailed, "attempts_used", now)
 	}
 }
 
+// recordFailureCount records what the failure of a run has added to the attempts used.
+func (e *Engine) recordFailureCount(r *run, count string, now time.Time) {
+	j := r.task.stage.job
+	e.recordDecision(Decision{Kind: "attempt_failed", Job: j.ID, Task: r.task.id(), Run: r.number, Worker: r.worker.Node, Reason: count, Age: now.Sub(j.Accepted)})
+}
+
 // complete reports whether all steps of all occurrences are done.
 func (j *Job) complete() bool {
 	for occurrence := range max(j.RepeatCount, 1) {
