Count a gang's failed run once across a change of scheduler

Cause: members that fail in one run are one failure, recognised by the run's number, which only the scheduler's memory held. Its successor counted the end of the next member again. Change: the job's row holds that number while members of the run have not ended, in an optional field that earlier versions skip. It is written with the count. The tests restore jobs from encoded rows. Tests: TestGangFailureCountsOnceAcrossTakeovers; without the change it fails with 1 and 2 takeovers and passes with none.

--- a/core/job/commit.go
+++ b/core/job/commit.go
@@ -121,6 +121,9 @@
 		if s.tasksLeft > 0 || s.activeRuns > 0 {
 			sp.Tasks = s.progress(&p, workers)
 		}
+		if s.failedRunActive() {
+			p.FailedGangs = append(p.FailedGangs, wire.FailedGang{Occurrence: s.key.occurrence, Step: s.key.step, Run: s.failedRun})
+		}
 		p.Stages = append(p.Stages, sp)
 	}
 	return p
--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -127,16 +127,25 @@
 	return state
 }
 
-// restart replaces the engine with one restored from the committed rows.
+// restart replaces the engine with one restored from the committed rows, as encoded.
 func (f *testCluster) restart() {
 	old := f.e
 	f.e = New(f.config(), f.now)
 	for _, j := range old.jobList {
-		if p, ok := f.rows[j.ID]; ok {
-			f.e.Restore(j.Job, &p, f.now)
-		} else {
+		committed, ok := f.rows[j.ID]
+		if !ok {
 			f.e.Restore(j.Job, nil, f.now)
+			continue
 		}
+		row, err := committed.MarshalMsg(nil)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		p := new(wire.JobProgress)
+		if _, err := p.UnmarshalMsg(row); err != nil {
+			f.t.Fatal(err)
+		}
+		f.e.Restore(j.Job, p, f.now)
 	}
 }
 
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -49,7 +49,7 @@
 	tasksLeft  int // tasks not done
 	activeRuns int // tasks with an active run
 	failures   int // failed runs of a gang
-	failedRun  int // number of the last of them
+	failedRun  int // number of the last of them; 0 if none is known
 	readyAt    time.Time
 	retryAt    time.Time       // no placement before this time
 	lastFailed lastFailure     // of a gang
@@ -80,6 +80,14 @@
 	return tasks
 }
 
+// failedRunActive reports whether members of a gang's last failed run have not ended.
+// They may still fail too.
+func (s *stage) failedRunActive() bool {
+	return s.failedRun > 0 && slices.ContainsFunc(s.tasks, func(t *task) bool {
+		return t.run != nil && t.run.number == s.failedRun
+	})
+}
+
 // task is one unit of work.
 type task struct {
 	stage      *stage
--- a/core/job/model_scheduler_test.go
+++ b/core/job/model_scheduler_test.go
@@ -44,12 +44,20 @@
 	agents     []*modelAgent
 	guaranteed int
 	done       map[wire.TaskID]bool // ended as done, and acknowledged to the worker
-	jobs       int
+	failed     map[wire.TaskID]*modelFailures
+	submitted  map[string]wire.Job
+}
+
+// modelFailures are the numbers of the failed runs of a task, or of a gang under its
+// first task.
+type modelFailures struct {
+	ended        map[int]bool // on a worker
+	acknowledged map[int]bool // to the worker
 }
 
 func newModel(rt *rapid.T, t *testing.T) *model {
 	m := &model{
-		rt: rt, f: newTestCluster(t), done: make(map[wire.TaskID]bool),
+		rt: rt, f: newTestCluster(t), done: make(map[wire.TaskID]bool), failed: make(map[wire.TaskID]*modelFailures), submitted: make(map[string]wire.Job),
 		guaranteed: rapid.SampledFrom([]int{0, 16}).Draw(rt, "guaranteed"),
 	}
 	m.holder = &modelHolder{e: m.f.e, epoch: 1, conns: make(map[string]*modelConn)}
@@ -184,7 +192,31 @@
 	h.written = true
 	for _, c := range h.batch.Progress {
 		m.f.rows[c.ID] = c.Progress
+		if c.Progress.State == wire.JobFailed {
+			m.checkFailed(c.job)
+		}
+	}
+}
+
+// failuresOf returns the failures of a task, or of its gang.
+func (m *model) failuresOf(id wire.TaskID) *modelFailures {
+	if m.submitted[id.Job].Steps[id.Step].Gang {
+		id.Index = 0
+	}
+	if m.failed[id] == nil {
+		m.failed[id] = &modelFailures{ended: make(map[int]bool), acknowledged: make(map[int]bool)}
+	}
+	return m.failed[id]
+}
+
+// checkFailed checks that a job that callers see as failed has used its attempts.
+func (m *model) checkFailed(j *Job) {
+	for id, f := range m.failed {
+		if id.Job == j.ID && len(f.ended) >= j.Attempts {
+			return
+		}
 	}
+	m.rt.Fatalf("job %s is shown as failed, and no task or gang has failed in %d runs", j.ID, j.Attempts)
 }
 
 // commit takes the answer to a transaction to its scheduler.
@@ -259,7 +291,6 @@
 
 // submit adds a job of one step.
 func (m *model) submit() {
-	m.jobs++
 	s := step(1, rapid.SampledFrom([]int{4, 8}).Draw(m.rt, "accelerators"))
 	switch rapid.IntRange(0, 5).Draw(m.rt, "kind") {
 	case 0:
@@ -268,5 +299,7 @@
 		s.Count, s.Gang = 2, true
 	}
 	s.Checkpoints = rapid.Bool().Draw(m.rt, "checkpoints")
-	m.holder.e.Submit(m.f.job(fmt.Sprintf("j%d", m.jobs), rapid.SampledFrom([]int{0, 2}).Draw(m.rt, "priority"), s), m.f.now)
+	j := m.f.job(fmt.Sprintf("j%d", len(m.submitted)+1), rapid.SampledFrom([]int{0, 2}).Draw(m.rt, "priority"), s)
+	m.submitted[j.ID] = j
+	m.holder.e.Submit(j, m.f.now)
 }
--- a/core/job/model_test.go
+++ b/core/job/model_test.go
@@ -97,7 +97,7 @@
 	return map[string]func(*rapid.T){
 		"submit": m.action(m.submit),
 		"cancel": m.rarely(func() {
-			m.holder.e.Cancel(fmt.Sprintf("j%d", rapid.IntRange(1, max(m.jobs, 1)).Draw(m.rt, "job")), m.f.now)
+			m.holder.e.Cancel(fmt.Sprintf("j%d", rapid.IntRange(1, max(len(m.submitted), 1)).Draw(m.rt, "job")), m.f.now)
 		}),
 		"round":          m.action(m.round),
 		"round again":    m.action(m.round),
@@ -197,7 +197,8 @@
 // order and report, or go on after they are replaced; agents that reconnect and restart;
 // workers that carry out calls late, drain, fail and start again under their ids; and
 // cancellations. It guards against two runs of a task at the same time, a run after an
-// acknowledged end, and more work than a worker holds.
+// acknowledged end, more work than a worker holds, and attempts that are counted more or
+// less often than runs have failed.
 func TestDecisionsUnderDelayedMessages(t *testing.T) {
 	setDefaults(t, map[string]string{"rapid.seed": "1", "rapid.checks": "20000", "rapid.steps": "200"})
 	rapid.Check(t, func(rt *rapid.T) {
--- a/core/job/model_worker_test.go
+++ b/core/job/model_worker_test.go
@@ -105,6 +105,9 @@
 		if e.Number <= c.acked && e.End == wire.EndDone && e.lapses == w.lapses {
 			m.done[e.Task] = true
 		}
+		if e.Number <= c.acked && e.End == wire.EndFailed && e.lapses == w.lapses {
+			m.failuresOf(e.Task).acknowledged[e.Run] = true
+		}
 		return e.Number <= c.acked
 	})
 	c.born, c.listed = w.born, sortedRuns(w.running)
@@ -146,6 +149,9 @@
 	if m.done[r.Task] {
 		m.rt.Fatalf("run %d of %v starts after an end as done was acknowledged", r.Run, r.Task)
 	}
+	if n, attempts := len(m.failuresOf(r.Task).acknowledged), m.submitted[r.Task.Job].Attempts; n >= attempts {
+		m.rt.Fatalf("run %d of %v starts after %d of %d failures were acknowledged", r.Run, r.Task, n, attempts)
+	}
 	w.running[r], w.newest[r.Task] = true, r.Run
 	used := 0
 	for o := range w.running {
@@ -160,6 +166,9 @@
 	delete(w.running, r)
 	delete(w.stopping, r)
 	w.ends++
+	if how == wire.EndFailed {
+		m.failuresOf(r.Task).ended[r.Run] = true
+	}
 	w.ended = append(w.ended, modelEnd{EndedRun: wire.EndedRun{Number: w.ends, Task: r.Task, Run: r.Run, End: how}, lapses: w.lapses})
 }
 
--- a/core/job/restore.go
+++ b/core/job/restore.go
@@ -21,6 +21,11 @@
 	for _, sp := range p.Stages {
 		e.restoreStage(j, sp, p.Workers, now)
 	}
+	for _, g := range p.FailedGangs {
+		if s := j.stages[stageKey{g.Occurrence, g.Step}]; s != nil {
+			s.failedRun = g.Run
+		}
+	}
 	if j.state.Final() {
 		j.endedAt = now
 		for _, s := range j.stageList {
--- a/core/job/restore_test.go
+++ b/core/job/restore_test.go
@@ -246,6 +246,40 @@
 	is.Equal(len(f.runs("j3")), 1)
 }
 
+// TestGangFailureCountsOnceAcrossTakeovers guards against a job that is shown as failed
+// before its attempts are used: two members of a gang fail in the same run, and the
+// scheduler changes between the two ends.
+func TestGangFailureCountsOnceAcrossTakeovers(t *testing.T) {
+	for takeovers := range 3 { // between the ends of the two members
+		t.Run(fmt.Sprintf("%d takeovers", takeovers), func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			f.workers(2)
+			f.e.Submit(f.job("j", 1, gang(2, 8)), f.now) // two attempts
+			for run := range 2 {
+				f.tick()
+				is.Equal(len(f.runs("j")), 2)
+				f.workers(2)
+				for index, r := range f.runs("j") {
+					f.report(r.worker.Node, nil, map[wire.TaskID]wire.RunEnd{{Job: "j", Index: index}: wire.EndFailed})
+					f.tick()
+					is.Equal(f.state("j") == wire.JobFailed, run == 1) // in its last attempt, with the first end
+					for range takeovers {
+						f.restart()
+						f.workers(2)
+						f.tick()
+					}
+				}
+				f.now = f.now.Add(maxProvenWait)
+				f.workers(2)
+			}
+			f.tick()
+			is.Equal(f.state("j"), wire.JobFailed)
+			is.Equal(len(f.runs("j")), 0)
+		})
+	}
+}
+
 func TestWithdrawRemovesJob(t *testing.T) {
 	is := is.New(t)
 	f := newTestCluster(t)
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -13,7 +13,7 @@
 //msgp:shim WorkerState as:string using:string/WorkerState
 //msgp:shim RunEnd as:string using:string/RunEnd
 //msgp:shim SubmitOutcome as:string using:string/SubmitOutcome
-//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun SharedTask OccurrenceRange
+//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun SharedTask OccurrenceRange FailedGang
 
 // JobState is the state of a job, as reported to callers.
 type JobState string
@@ -155,13 +155,23 @@
 	To   int
 }
 
+// FailedGang is a gang whose active run has failed and is counted in
+// StageProgress.Failures, while some of its members have not ended.
+type FailedGang struct {
+	Occurrence int
+	Step       int
+	Run        int
+}
+
 // JobProgress is the persistent state of a job that has begun. Stages holds nothing
-// of the occurrences in Done.
+// of the occurrences in Done. FailedGangs is separate from Stages, whose elements are
+// tuples of fixed length, so that earlier versions can read the row.
 type JobProgress struct {
-	State   JobState          `msg:"state"`
-	Workers []WorkerRef       `msg:"workers"`
-	Stages  []StageProgress   `msg:"stages"`
-	Done    []OccurrenceRange `msg:"done,omitempty"` // occurrences of which all tasks are done
+	State       JobState          `msg:"state"`
+	Workers     []WorkerRef       `msg:"workers"`
+	Stages      []StageProgress   `msg:"stages"`
+	Done        []OccurrenceRange `msg:"done,omitempty"` // occurrences of which all tasks are done
+	FailedGangs []FailedGang      `msg:"failed_gangs,omitempty"`
 }
 
 // SchedulerLease is the row whose holder is the scheduler. Every transaction of
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -356,6 +356,54 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z FailedGang) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.Step)
+	o = msgp.AppendInt(o, z.Run)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FailedGang) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Run, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z FailedGang) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Job) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -674,13 +722,17 @@
 func (z *JobProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Done == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.FailedGangs == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -720,6 +772,18 @@
 				o = msgp.AppendInt(o, z.Done[za0003].To)
 			}
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "failed_gangs"
+			o = append(o, 0xac, 0x66, 0x61, 0x69, 0x6c, 0x65, 0x64, 0x5f, 0x67, 0x61, 0x6e, 0x67, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.FailedGangs)))
+			for za0004 := range z.FailedGangs {
+				// array header, size 3
+				o = append(o, 0x93)
+				o = msgp.AppendInt(o, z.FailedGangs[za0004].Occurrence)
+				o = msgp.AppendInt(o, z.FailedGangs[za0004].Step)
+				o = msgp.AppendInt(o, z.FailedGangs[za0004].Run)
+			}
+		}
 	}
 	return
 }
@@ -860,6 +924,49 @@
 					return
 				}
 			}
+		case "failed_gangs":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FailedGangs")
+				return
+			}
+			if zb0008 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.FailedGangs) >= int(zb0008) {
+				z.FailedGangs = (z.FailedGangs)[:zb0008]
+			} else {
+				z.FailedGangs = make([]FailedGang, zb0008)
+			}
+			for za0004 := range z.FailedGangs {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailedGangs", za0004)
+					return
+				}
+				if zb0009 != 3 {
+					err = msgp.ArrayError{Wanted: 3, Got: zb0009}
+					return
+				}
+				z.FailedGangs[za0004].Occurrence, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailedGangs", za0004, "Occurrence")
+					return
+				}
+				z.FailedGangs[za0004].Step, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailedGangs", za0004, "Step")
+					return
+				}
+				z.FailedGangs[za0004].Run, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "FailedGangs", za0004, "Run")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -882,7 +989,7 @@
 	for za0002 := range z.Stages {
 		s += z.Stages[za0002].Msgsize()
 	}
-	s += 5 + msgp.ArrayHeaderSize + (len(z.Done) * (9 + msgp.IntSize + msgp.IntSize))
+	s += 5 + msgp.ArrayHeaderSize + (len(z.Done) * (9 + msgp.IntSize + msgp.IntSize)) + 13 + msgp.ArrayHeaderSize + (len(z.FailedGangs) * (21 + msgp.IntSize + msgp.IntSize + msgp.IntSize))
 	return
 }
 
