Stop what is left of a broken gang after a change of scheduler

Callers wait longer: the member of a gang that another member has left is started by the new scheduler and waits alone until the gang's time limit, and only then the gang is placed again. Orders to stop are in no row, and a restored run counts as ordered to start. Ruled out: that the agent's record of the run prevents it. The test covers a worker and an agent that have never got the start. Change: restoring a job stops the runs of a gang of which only some members have one. Result: TestRestoredBrokenGangIsStopped failed in 4 of 4 cases before and passes; go test ./core/job, with the model, passes. Not seen in a log.

--- a/core/job/restore.go
+++ b/core/job/restore.go
@@ -37,6 +37,7 @@
 		}
 		return
 	}
+	e.stopBrokenGangs(j)
 	if j.RepeatCount == 0 {
 		e.createReadyStages(j, 0, now)
 	}
@@ -45,6 +46,16 @@
 	}
 }
 
+// stopBrokenGangs stops the members of gangs of which others have ended. The orders by
+// which the earlier scheduler did so are in no row.
+func (e *Engine) stopBrokenGangs(j *Job) {
+	for _, s := range j.stageList {
+		if s.step.Gang && s.tasksLeft > 0 && s.activeRuns < len(s.tasks) {
+			e.stopRemainingMembers(s)
+		}
+	}
+}
+
 // restoreStage restores one stage. It ignores progress that does not match the
 // job's steps; those tasks start over.
 func (e *Engine) restoreStage(j *Job, sp wire.StageProgress, workers []wire.WorkerRef, now time.Time) {
--- a/core/job/restore_test.go
+++ b/core/job/restore_test.go
@@ -280,6 +280,35 @@
 	}
 }
 
+// TestRestoredBrokenGangIsStopped guards against a member of a gang that a new scheduler
+// starts again, or lets wait for the others, although one of them has ended.
+func TestRestoredBrokenGangIsStopped(t *testing.T) {
+	for _, how := range []wire.RunEnd{wire.EndFailed, wire.EndStopped, wire.EndRefused, wire.EndLeaseExpired} {
+		t.Run(string(how), func(t *testing.T) {
+			is := is.New(t)
+			f := newTestCluster(t)
+			absent := func(r *wire.WorkerReport) { r.Running = nil }
+			f.workers(2)
+			f.e.Submit(f.job("j", 1, gang(2, 8)), f.now)
+			f.tick()
+			first, second := f.runs("j")[0], f.runs("j")[1]
+			f.report(first.worker.Node, nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: how})
+			f.tick()
+			f.restart()
+			f.report(first.worker.Node, nil, nil)
+			f.report(second.worker.Node, absent, nil)
+			o, ok := f.e.Orders(second.worker.Node)
+			is.True(ok)
+			is.Equal(len(o.Starts), 0) // it would wait for the others in vain
+			f.tick()
+			is.Equal(len(f.runs("j")), 2)
+			for _, r := range f.runs("j") {
+				is.Equal(r.number, 2)
+			}
+		})
+	}
+}
+
 func TestWithdrawRemovesJob(t *testing.T) {
 	is := is.New(t)
 	f := newTestCluster(t)
