Log which scheduler ordered a start, and how often it was called

The agent's log had one run_started line, which fits an order of the new scheduler, a call that the worker carried out late, and a start that the agent repeated. Change: run_started, start_refused and run_stopped name the calls made; the first two also the epoch of the orders that listed the start last, and the time since they arrived. bramleythread_start_calls_total counts starts by outcome.

--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -93,6 +93,10 @@
 	stopAckedAt time.Time // when it was acknowledged
 	permission  startPermission
 	unanswered  bool // a start call has ended without an answer, and may still be carried out
+
+	epoch     uint64    // of the scheduler whose orders listed it last
+	orderedAt time.Time // when the first of them arrived
+	calls     int       // start calls so far
 }
 
 // Start starts an agent, which runs until Close is called.
@@ -270,7 +274,7 @@
 
 func (a *Agent) applyStart(r wire.TaskRun, s wire.StartTask) {
 	if p := a.pending[r]; p != nil {
-		p.permission = a.permission // these orders permit it anew
+		p.permission, p.epoch = a.permission, a.orders.Epoch // these orders permit it anew
 		return
 	}
 	if _, present := a.running[r]; present || a.refused[r] != "" || a.hasEnded(r) {
@@ -296,6 +300,7 @@
 }
 
 func (a *Agent) beginOrder(r wire.TaskRun, p *pending, s wire.StartTask) {
+	p.epoch, p.orderedAt = a.orders.Epoch, time.Now()
 	a.pending[r] = p
 	a.wg.Add(1)
 	go a.executeOrder(r, p, s, a.lifetime)
--- a/io/worker/order.go
+++ b/io/worker/order.go
@@ -27,6 +27,7 @@
 			refusal = reasonPermissionExpired
 		default:
 			a.startCalls++
+			p.calls++
 		}
 		a.mu.Unlock()
 		var err error
@@ -73,11 +74,13 @@
 	switch {
 	case err == nil && stop:
 		p.stopAcked, p.stopAckedAt = true, time.Now()
-		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Str("reason", p.reason).Msg("run_stopped")
+		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Str("reason", p.reason).Int("calls", p.calls).Msg("run_stopped")
 		a.requestPoll()
 		return true
 	case err == nil:
-		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Uint64("token", a.token()).Msg("run_started")
+		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Uint64("token", a.token()).
+			Uint64("ordered_by_epoch", p.epoch).Int("calls", p.calls).Dur("waited", time.Since(p.orderedAt)).Msg("run_started")
+		a.cfg.Metrics.startCalls.WithLabelValues(startAnswered).Inc()
 		if p.stop {
 			return false
 		}
@@ -87,10 +90,15 @@
 		a.report()
 		return true
 	case errors.As(err, &refused) && !stop:
-		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Str("reason", refused.Reason).Msg("start_refused")
+		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Str("reason", refused.Reason).
+			Uint64("ordered_by_epoch", p.epoch).Int("calls", p.calls).Dur("waited", time.Since(p.orderedAt)).Msg("start_refused")
+		a.cfg.Metrics.startCalls.WithLabelValues(startRefused).Inc()
 		p.stop, p.reason = true, refused.Reason
 		return false
 	default:
+		if !stop {
+			a.cfg.Metrics.startCalls.WithLabelValues(startUnanswered).Inc()
+		}
 		p.unanswered = p.unanswered || !stop && !errors.As(err, &down)
 		a.cfg.Log.Debug().Str("job", r.Task.Job).Int("run", r.Run).Bool("stop", stop).Err(err).Msg("no_answer")
 		return false
