Permit starts only within the limit of cancellations

Cause: an agent repeats a start for as long as it may renew the worker's lease, 4 s after its last report. Nothing takes the order back once the scheduler is lost, and the successor is heard only after the worker has answered a poll. A scheduler that the store no longer answers went on ordering starts in the same way. Change: with a limit for cancellations, orders permit their starts for 3/5 of what remains of it after the age of the scheduler's knowledge of cancellations, and hold none if that is older than half of it. The poll of the job table waits a quarter of the limit. job.StartPermission is now EvacuationPermission, and Changes.ConfirmedAt serves both polls.

--- a/core/job/evacuation.go
+++ b/core/job/evacuation.go
@@ -17,8 +17,8 @@
 // knowledge when it sends an order, two fifths for the permission with which the agent
 // carries the order out, and the rest for the call to the worker.
 const (
-	maxEvacuationAgeShare = 0.4
-	startPermissionShare  = 0.4
+	maxEvacuationAgeShare     = 0.4
+	evacuationPermissionShare = 0.4
 )
 
 // MaxEvacuationAge returns the greatest age of the evacuation state at which starts
@@ -27,10 +27,10 @@
 	return time.Duration(maxEvacuationAgeShare * float64(limit))
 }
 
-// StartPermission returns how long after its last report an agent may begin a start
+// EvacuationPermission returns how long after its last report an agent may begin a start
 // that is ordered, for the limit of an evacuation.
-func StartPermission(limit time.Duration) time.Duration {
-	return time.Duration(startPermissionShare * float64(limit))
+func EvacuationPermission(limit time.Duration) time.Duration {
+	return time.Duration(evacuationPermissionShare * float64(limit))
 }
 
 // Evacuation is the set of evacuated zones as stored. The zero value means that it
--- a/io/caller/catalog.go
+++ b/io/caller/catalog.go
@@ -123,7 +123,7 @@
 			if after == 0 {
 				wait = 0 // the store answers a read of all rows at once
 			}
-			c.applyChanges(changes, after == 0, confirmedAt(changes, wait, sentAt, sentAt+took))
+			c.applyChanges(changes, after == 0, changes.ConfirmedAt(wait, sentAt, sentAt+took))
 			after = max(changes.Revision, 1)
 		case errors.As(err, &lost):
 			after = 0
@@ -150,17 +150,6 @@
 	return c.cfg.PollWait
 }
 
-// confirmedAt returns a boot time as of which the store held nothing newer than
-// the changes. This is the time of the request, unless the response is empty
-// after a full long poll: the store then made it at the end of the poll. A late
-// response to a request that did not wait says nothing about the time after it.
-func confirmedAt(changes platform.Changes, wait, sentAt, answeredAt time.Duration) time.Duration {
-	if len(changes.Rows) == 0 && answeredAt-sentAt >= wait {
-		return sentAt + wait*9/10 // allows for a store clock that runs fast
-	}
-	return sentAt
-}
-
 // applyChanges installs changed configurations and evacuated zones. whole means
 // that the changes are all rows of the table. confirmed is the boot time as of which
 // the store held nothing newer.
--- a/io/caller/evacuation_test.go
+++ b/io/caller/evacuation_test.go
@@ -86,9 +86,9 @@
 	is := is.New(t)
 	const sent, wait, limit = time.Hour, time.Second, 5 * time.Second
 	row := platform.Changes{Rows: []platform.Row{{Key: "op/config"}}}
-	is.Equal(confirmedAt(row, wait, sent, sent+wait), sent)                             // change at the end of a poll
-	is.Equal(confirmedAt(platform.Changes{}, 0, sent, sent+10*wait), sent)              // late answer without a wait
-	is.Equal(confirmedAt(platform.Changes{}, wait, sent, sent+10*wait), sent+wait*9/10) // late answer after a full poll
+	is.Equal(row.ConfirmedAt(wait, sent, sent+wait), sent)                             // change at the end of a poll
+	is.Equal(platform.Changes{}.ConfirmedAt(0, sent, sent+10*wait), sent)              // late answer without a wait
+	is.Equal(platform.Changes{}.ConfirmedAt(wait, sent, sent+10*wait), sent+wait*9/10) // late answer after a full poll
 
 	health := platform.NewHealth(platform.Store{}, zerolog.Nop(), prometheus.NewRegistry())
 	maxAge := job.MaxEvacuationAge(limit)
@@ -96,7 +96,7 @@
 	is.True(2*c.cfg.PollWait < maxAge) // if a change is read at the end of a poll
 	for response := time.Duration(0); response <= maxAge*2/5; response += 50 * time.Millisecond {
 		wait := c.pollWait(response)
-		confirmed := confirmedAt(platform.Changes{}, wait, 0, wait+response)
+		confirmed := platform.Changes{}.ConfirmedAt(wait, 0, wait+response)
 		is.True(wait+response-confirmed+wait+response <= maxAge) // until the next answer
 	}
 	c = &Catalog{cfg: CatalogConfig{Health: health, PollWait: PollWait(5*time.Second, 0)}}
--- a/io/platform/store.go
+++ b/io/platform/store.go
@@ -26,6 +26,18 @@
 	Revision uint64 `json:"revision"`
 }
 
+// ConfirmedAt returns a boot time as of which the table held nothing newer than the
+// changes, which the store has sent in response to a poll. This is the time of the
+// request, unless the response is empty after a full long poll: the store then made it
+// at the end of the poll. A late response to a request that did not wait says nothing
+// about the time after it.
+func (c Changes) ConfirmedAt(wait, sentAt, answeredAt time.Duration) time.Duration {
+	if len(c.Rows) == 0 && answeredAt-sentAt >= wait {
+		return sentAt + wait*9/10 // allows for a store clock that runs fast
+	}
+	return sentAt
+}
+
 // Condition requires that the row has Revision; 0 requires that it is absent.
 type Condition struct {
 	Key      string `json:"key"`
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -47,6 +47,8 @@
 	unfinished     map[string]*submission   // submissions without an outcome, by job ID
 	orphans        map[string]time.Time     // when cancellations without a job were read, by job ID
 	deleted        map[string]uint64        // revisions at which rows of jobs were deleted, which the watch may not have passed
+	jobsReadAt     time.Duration            // boot time as of which the job table is known
+	startsWithheld bool                     // it is too old for orders to start
 	adviceMu       sync.Mutex               // the service handles one request at a time from each machine
 }
 
--- a/io/scheduler/serve.go
+++ b/io/scheduler/serve.go
@@ -192,11 +192,34 @@
 // permitStarts adds to orders the permission within which their starts may be carried
 // out. The permission counts from the agent's last report that this process has
 // granted. Without one the agent could start nothing, so the starts are left out until
-// the next orders.
+// the next orders. They are also left out while this process may not know of all
+// cancellations.
 func (h *holder) permitStarts(o *wire.WorkerOrders, a *agentLink) {
-	o.StartPermission = job.StartPermission(h.cfg.Engine.EvacuationLimit)
-	if o.StartPermission > 0 && a.grantedAt == 0 {
-		o.Starts = nil
+	if h.cfg.CancelLimit <= 0 && h.cfg.Engine.EvacuationLimit <= 0 {
+		return
+	}
+	o.StartPermission = h.startPermission()
+	if o.StartPermission > 0 && a.grantedAt > 0 {
+		return
+	}
+	if o.StartPermission == 0 && len(o.Starts) > 0 && !h.startsWithheld {
+		h.startsWithheld = true
+		h.cfg.Log.Warn().Dur("age", h.jobsAge()).Msg("starts_withheld")
+	}
+	o.Starts = nil
+}
+
+// startPermission returns the shorter permission of those that the limits of evacuations
+// and cancellations leave, or 0 if there is none. One of them must be set.
+func (h *holder) startPermission() time.Duration {
+	evacuation, cancellation := h.cfg.Engine.EvacuationLimit, h.cfg.CancelLimit
+	switch {
+	case cancellation <= 0:
+		return job.EvacuationPermission(evacuation)
+	case evacuation <= 0:
+		return job.CancellationPermission(cancellation, h.jobsAge())
+	default:
+		return min(job.EvacuationPermission(evacuation), job.CancellationPermission(cancellation, h.jobsAge()))
 	}
 }
 
--- a/io/scheduler/tables.go
+++ b/io/scheduler/tables.go
@@ -22,9 +22,9 @@
 	read := make(chan struct{})
 	go func() {
 		defer close(read)
-		progress, progressErr = h.readTable(ctx, TableProgress)
+		progress, _, progressErr = h.readTable(ctx, TableProgress)
 	}()
-	jobs, err := h.readTable(ctx, TableJob)
+	jobs, readAt, err := h.readTable(ctx, TableJob)
 	<-read
 	if err := errors.Join(err, progressErr); err != nil {
 		return err
@@ -39,22 +39,25 @@
 		states[strings.TrimPrefix(row.Key, TableProgress+"/")] = p
 	}
 	h.applyJobRows(jobs, states)
+	h.confirmJobs(readAt)
 	h.cfg.Log.Info().Uint64("epoch", h.writer.lease.Epoch).Int("rows", len(jobs.Rows)).Int("progress", len(progress.Rows)).Msg("tables_loaded")
 	return nil
 }
 
-// readTable reads a whole table and retries until the store answers.
-func (h *holder) readTable(ctx context.Context, table string) (platform.Changes, error) {
+// readTable reads a whole table and retries until the store answers. It returns the boot
+// time of the request that was answered.
+func (h *holder) readTable(ctx context.Context, table string) (platform.Changes, time.Duration, error) {
 	pause := retryMin
 	for {
+		sentAt := h.cfg.BootTime()
 		callCtx, cancel := context.WithTimeout(ctx, commitTimeout)
 		c, err := h.cfg.Store.Watch(callCtx, table, 0, 0)
 		cancel()
 		if err == nil {
-			return c, nil
+			return c, sentAt, nil
 		}
 		if err := sleep(ctx, jitter(pause)); err != nil {
-			return platform.Changes{}, err
+			return platform.Changes{}, 0, err
 		}
 		pause = min(2*pause, retryMax)
 	}
@@ -173,21 +176,25 @@
 
 // watchTimes returns how long a poll of the job table waits at the store, and the time
 // added to that for the response. A connection may fall silent, which only the end of
-// both shows: together they are four fifths of the limit within which a cancellation
-// must take effect, so that the next poll, on another connection, is in time.
+// both shows: together they are three fifths of the limit within which a cancellation
+// must take effect, so that the next poll, on another connection, is in time. The wait
+// alone is a quarter, since starts are ordered only while the cancellations are known as
+// of half of the limit ago.
 func watchTimes(cancelLimit time.Duration) (wait, margin time.Duration) {
 	if cancelLimit <= 0 {
 		return maxWatchWait, maxWatchMargin
 	}
-	return min(maxWatchWait, cancelLimit*9/20), min(maxWatchMargin, cancelLimit*7/20)
+	return min(maxWatchWait, cancelLimit/4), min(maxWatchMargin, cancelLimit*7/20)
 }
 
 // watchJobs adds the jobs and cancellations that entries write to the job
 // table.
 func (h *holder) watchJobs(ctx context.Context) {
-	wait, margin := watchTimes(h.cfg.CancelLimit)
+	maxWait, margin := watchTimes(h.cfg.CancelLimit)
 	pause := retryMin
 	for ctx.Err() == nil {
+		wait := h.watchWait(maxWait)
+		sentAt := h.cfg.BootTime()
 		callCtx, cancel := context.WithTimeout(ctx, wait+margin)
 		c, err := h.cfg.Store.Watch(callCtx, TableJob, h.jobsRevision, wait)
 		cancel()
@@ -195,11 +202,15 @@
 		switch {
 		case err == nil:
 			pause = retryMin
+			if h.jobsRevision == 0 {
+				wait = 0 // the store answers a read of all rows at once
+			}
 			if len(c.Rows) > 0 {
 				h.applyJobRows(c, nil)
 				h.requestRound()
 			}
 			h.jobsRevision = c.Revision
+			h.confirmJobs(c.ConfirmedAt(wait, sentAt, h.cfg.BootTime()))
 		case errors.As(err, &lost):
 			h.cfg.Log.Warn().Uint64("after", lost.After).Msg("history_lost")
 			h.jobsRevision = 0
@@ -209,3 +220,33 @@
 		}
 	}
 }
+
+// watchWait returns how long the next poll of the job table waits. With a limit for
+// cancellations it waits less if the known ones are old already, because the previous
+// response took long or brought changes at the end of its poll.
+func (h *holder) watchWait(maxWait time.Duration) time.Duration {
+	if h.cfg.CancelLimit <= 0 {
+		return maxWait
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return max(maxWait-h.jobsAge(), 0)
+}
+
+// confirmJobs records the boot time as of which all jobs and cancellations are known.
+func (h *holder) confirmJobs(at time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.jobsReadAt = max(h.jobsReadAt, at)
+	if h.startsWithheld && h.startPermission() > 0 {
+		h.startsWithheld = false
+		h.cfg.Log.Info().Dur("age", h.jobsAge()).Msg("starts_permitted")
+		for node := range h.agents {
+			h.notifyAgent(node)
+		}
+	}
+}
+
+// jobsAge returns the time since all jobs and cancellations were known. The caller holds
+// mu.
+func (h *holder) jobsAge() time.Duration { return h.cfg.BootTime() - h.jobsReadAt }
--- a/io/worker/permission_test.go
+++ b/io/worker/permission_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleythread/io/platform"
+	"bramleythread/io/scheduler"
 	"bramleythread/io/wire"
 	"bramleythread/io/worker"
 
@@ -119,3 +120,49 @@
 		}
 	}
 }
+
+// TestLostSchedulerStartsNothing guards against a cancelled job that is started by the
+// order of a scheduler that is lost: its worker does not answer the start until the limit
+// for cancellations has passed, and until then no other scheduler can reach it.
+func TestLostSchedulerStartsNothing(t *testing.T) {
+	is := is.New(t)
+	const limit = 3 * time.Second
+	s := newSystem(t, 0, 0)
+	s.startEntryWith(func(cfg *scheduler.Config) { cfg.CancelLimit = limit })
+	var skipped atomic.Int64
+	var answers, attempted, started, stopped atomic.Bool
+	var late atomic.Int64 // calls since the worker answers
+	w := worker.Worker{
+		Hold: func(_ context.Context, _ worker.HoldRequest) (worker.HoldReply, error) {
+			time.Sleep(5 * time.Millisecond)
+			return worker.HoldReply{Clock: time.Second}, nil
+		},
+		Start: func(context.Context, worker.StartRequest) error {
+			attempted.Store(true)
+			if !answers.Load() || late.Add(1) == 1 { // the agent may have begun the first one before
+				return context.DeadlineExceeded
+			}
+			started.Store(true)
+			return nil
+		},
+		Stop: func(context.Context, worker.StopRequest) error {
+			stopped.Store(true)
+			return nil
+		},
+	}
+	a := worker.Start(worker.Config{
+		Node: "side-1", Store: s.store.Store(), Worker: w, Log: zerolog.Nop(), Metrics: worker.NewMetrics(prometheus.NewRegistry()),
+		BootTime: func() time.Duration { return platform.BootTime() + time.Duration(skipped.Load()) },
+	})
+	defer a.Close()
+	a.Announce(worker.Announcement{WorkerInfo: wire.WorkerInfo{
+		Instance: "i-1", Born: 1, Service: "podcheck", State: wire.WorkerReady, Capacity: wire.Resources{CPU: 8000, Memory: 8000, Accelerators: 8},
+	}, Sequence: 1})
+	s.submit("j", "", tasks(1))
+	eventually(t, attempted.Load)
+	s.entries[0].Close()
+	skipped.Store(int64(limit)) // less than the time for which leases may still be renewed
+	answers.Store(true)
+	eventually(t, func() bool { return started.Load() || stopped.Load() })
+	is.True(!started.Load())
+}
