Give up unanswered starts when a worker begins to drain

Cause: an agent checked the worker's state when a start was ordered, not when it repeated the start; taking it back was left to the scheduler, which may be lost. Ruled out: the limited permission alone. Change: an announcement of another state than ready turns starts in progress into stops.

--- a/io/worker/announce.go
+++ b/io/worker/announce.go
@@ -107,10 +107,24 @@
 	a.info.Zone = cmp.Or(n.Zone, a.cfg.Zone)
 	if state != n.State {
 		a.cfg.Log.Info().Str("instance", n.Instance).Str("state", string(n.State)).Dur("remaining", n.Remaining).Msg("worker_state")
+		a.giveUpStarts()
 		a.report()
 	}
 }
 
+// giveUpStarts turns the starts in progress on a worker that is not ready into stops. The
+// scheduler does the same, but may not be reached. The caller holds mu.
+func (a *Agent) giveUpStarts() {
+	if a.info.State == wire.WorkerReady {
+		return
+	}
+	for _, p := range a.pending {
+		if !p.stop {
+			p.stop, p.reason = true, "worker_"+string(a.info.State)
+		}
+	}
+}
+
 // confirmLifetime repeats decideLifetime until the worker has answered.
 func (a *Agent) confirmLifetime(id lifetimeID) {
 	defer a.wg.Done()
