Play stored cancellations and start permissions in the model

Change: a cancellation is stored at one time and read by each scheduler later, or never; orders carry the permission, agents give up starts without one and when their worker drains. A start call fails a history if it may end later than the limit after the cancellation, or if the worker drains. Ruled out on the way: a first failing history cancelled a job that was not submitted yet, which the store's conditions exclude; the model now cancels submitted jobs only.

--- a/core/job/model_agent_test.go
+++ b/core/job/model_agent_test.go
@@ -16,6 +16,7 @@
 	modelConfirmAge  = 3 * time.Second // for which a replaced scheduler grants renewals
 	modelGrant       = 4 * time.Second // from a report on, to its agent
 	modelWorkerLease = 4 * time.Second
+	modelCancelLimit = 3 * time.Second
 )
 
 // modelAgent follows the rules of an agent (package worker), one step at a time.
@@ -29,6 +30,7 @@
 	token      uint64 // of the orders that apply
 	lifetime   uint64 // number of lifetimes that the agent has known
 	orders     wire.WorkerOrders
+	permission modelPermission // of the starts in orders
 	ordered    bool
 	polled     bool
 	holdFailed bool
@@ -42,8 +44,12 @@
 	refused    map[wire.TaskRun]bool
 }
 
+// modelPermission is the time within which starts may begin.
+type modelPermission struct{ length, until time.Duration }
+
 // modelPending is an order in progress.
 type modelPending struct {
+	permission  modelPermission
 	stop        bool
 	call        *modelCall // that the agent waits for
 	stopAckedAt int        // 0 if the worker has not acknowledged the stop
@@ -88,6 +94,7 @@
 	if o.Token < a.token {
 		return // of a scheduler that has been replaced
 	}
+	a.permission = modelPermission{length: o.StartPermission, until: o.LastReportSent + o.StartPermission}
 	o.LastReportSent = max(o.LastReportSent, a.orders.LastReportSent)
 	a.token, a.orders, a.ordered = o.Token, o, true
 	m.apply(a)
@@ -103,8 +110,10 @@
 	for _, s := range o.Starts {
 		r := wire.TaskRun{Task: s.Task, Run: s.Run}
 		listed[r] = true
-		if a.pending[r] == nil && !a.running[r] && !a.refused[r] && !a.hasEnded(r) {
-			a.pending[r] = &modelPending{stop: a.info.State != wire.WorkerReady}
+		if p := a.pending[r]; p != nil {
+			p.permission = a.permission
+		} else if !a.running[r] && !a.refused[r] && !a.hasEnded(r) {
+			a.pending[r] = &modelPending{permission: a.permission, stop: a.info.State != wire.WorkerReady}
 		}
 	}
 	for _, r := range o.Stops {
@@ -135,15 +144,30 @@
 		return nil
 	}
 	c := &modelCall{token: a.workerToken(), run: r, stop: p.stop, leaseUntil: m.leaseUntil(a)}
-	if !c.stop && c.leaseUntil.IsZero() { // without a permission
+	if !c.stop && (c.leaseUntil.IsZero() || m.bootTime() > p.permission.until) {
 		p.stop = true
 		return nil
 	}
+	m.checkStartCall(a, c, p.permission)
 	p.call = c
 	a.calls = append(a.calls, c)
 	return c
 }
 
+// checkStartCall checks that a start call, which may take half of its permission more, ends
+// within the limit of the job's cancellation, and is for a worker that does not drain.
+func (m *model) checkStartCall(a *modelAgent, c *modelCall, p modelPermission) {
+	if c.stop {
+		return
+	}
+	if at, ok := m.cancelled[c.run.Task.Job]; ok && m.bootTime()+p.length/2 > at+modelCancelLimit {
+		m.rt.Fatalf("run %d of %v is called %v after the cancellation", c.run.Run, c.run.Task, m.bootTime()-at)
+	}
+	if a.info.State != wire.WorkerReady {
+		m.rt.Fatalf("run %d of %v is called on a worker that is %s", c.run.Run, c.run.Task, a.info.State)
+	}
+}
+
 // poll makes a call that reads the worker's lists.
 func (m *model) poll(a *modelAgent) *modelCall {
 	if a.token == 0 || a.info.Instance == "" || a.info.State == wire.WorkerGone {
@@ -316,6 +340,11 @@
 		a.reset(announced)
 	}
 	a.info.State, a.info.Remaining = state, time.Second
+	if state != wire.WorkerReady {
+		for _, p := range a.pending {
+			p.stop = true
+		}
+	}
 }
 
 // noticeDown marks the worker as gone after calls that have found no process, unless a
--- a/core/job/model_scheduler_test.go
+++ b/core/job/model_scheduler_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +35,7 @@
 	batch      *Batch                // not known to be written
 	written    bool                  // the store has applied batch
 	replacedAt time.Duration         // 0 for the holder of the lease
+	readAt     time.Duration         // boot time as of which it knows all cancellations
 }
 
 // model is schedulers with their agents and workers.
@@ -46,6 +49,7 @@
 	done       map[wire.TaskID]bool // ended as done, and acknowledged to the worker
 	failed     map[wire.TaskID]*modelFailures
 	submitted  map[string]wire.Job
+	cancelled  map[string]time.Duration // boot times at which cancellations were acknowledged
 }
 
 // modelFailures are the numbers of the failed runs of a task, or of a gang under its
@@ -57,10 +61,10 @@
 
 func newModel(rt *rapid.T, t *testing.T) *model {
 	m := &model{
-		rt: rt, f: newTestCluster(t), done: make(map[wire.TaskID]bool), failed: make(map[wire.TaskID]*modelFailures), submitted: make(map[string]wire.Job),
+		rt: rt, f: newTestCluster(t), done: make(map[wire.TaskID]bool), failed: make(map[wire.TaskID]*modelFailures), submitted: make(map[string]wire.Job), cancelled: make(map[string]time.Duration),
 		guaranteed: rapid.SampledFrom([]int{0, 16}).Draw(rt, "guaranteed"),
 	}
-	m.holder = &modelHolder{e: m.f.e, epoch: 1, conns: make(map[string]*modelConn)}
+	m.holder = &modelHolder{e: m.f.e, epoch: 1, conns: make(map[string]*modelConn), readAt: m.bootTime()}
 	for i := range rapid.IntRange(1, 3).Draw(rt, "workers") {
 		a := &modelAgent{name: node(i), worker: newModelWorker(1)}
 		a.reset(info(node(i)))
@@ -132,6 +136,10 @@
 		if o, ok = c.h.e.Orders(c.node); !ok {
 			return
 		}
+		o.StartPermission = CancellationPermission(modelCancelLimit, m.bootTime()-c.h.readAt)
+		if o.StartPermission == 0 || c.granted == 0 {
+			o.Starts = nil
+		}
 	}
 	o.Token, o.LastReportSent = c.token, c.granted
 	c.toAgent = append(c.toAgent, o)
@@ -239,6 +247,7 @@
 func (m *model) round() {
 	m.write()
 	m.commit(m.holder)
+	m.readCancellations(m.holder)
 	m.decide(m.holder)
 	m.write()
 	m.commit(m.holder)
@@ -266,6 +275,7 @@
 	m.former.replacedAt = m.bootTime()
 	m.f.restart()
 	m.holder = &modelHolder{e: m.f.e, epoch: m.former.epoch + 1, conns: make(map[string]*modelConn)}
+	m.readCancellations(m.holder)
 	if rapid.Bool().Draw(m.rt, "killed") {
 		m.endFormer()
 	}
@@ -276,6 +286,25 @@
 	}
 }
 
+// cancel stores the cancellation of a job, which schedulers read later.
+func (m *model) cancel() {
+	if len(m.submitted) == 0 {
+		return
+	}
+	id := fmt.Sprintf("j%d", rapid.IntRange(1, len(m.submitted)).Draw(m.rt, "job"))
+	if _, ok := m.cancelled[id]; !ok {
+		m.cancelled[id] = m.bootTime()
+	}
+}
+
+// readCancellations makes a scheduler know all cancellations.
+func (m *model) readCancellations(h *modelHolder) {
+	for _, id := range slices.Sorted(maps.Keys(m.cancelled)) {
+		h.e.Cancel(id, m.f.now)
+	}
+	h.readAt = m.bootTime()
+}
+
 // endFormer ends the process of the former holder and its connections.
 func (m *model) endFormer() {
 	if m.former == nil {
--- a/core/job/model_test.go
+++ b/core/job/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -95,10 +94,8 @@
 // preemption and cancellation.
 func (m *model) commonActions() map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
-		"submit": m.action(m.submit),
-		"cancel": m.rarely(func() {
-			m.holder.e.Cancel(fmt.Sprintf("j%d", rapid.IntRange(1, max(len(m.submitted), 1)).Draw(m.rt, "job")), m.f.now)
-		}),
+		"submit":         m.action(m.submit),
+		"cancel":         m.rarely(m.cancel),
 		"round":          m.action(m.round),
 		"round again":    m.action(m.round),
 		"take over":      m.rarely(m.takeOver),
@@ -142,6 +139,11 @@
 			}
 		}),
 		"former ends": m.action(m.endFormer),
+		"former reads cancellations": m.action(func() {
+			if m.former != nil {
+				m.readCancellations(m.former)
+			}
+		}),
 	}
 }
 
@@ -197,8 +199,8 @@
 // order and report, or go on after they are replaced; agents that reconnect and restart;
 // workers that carry out calls late, drain, fail and start again under their ids; and
 // cancellations. It guards against two runs of a task at the same time, a run after an
-// acknowledged end, more work than a worker holds, and attempts that are counted more or
-// less often than runs have failed.
+// acknowledged end, more work than a worker holds, attempts that are counted more or less
+// often than runs have failed, and starts of cancelled jobs and on draining workers.
 func TestDecisionsUnderDelayedMessages(t *testing.T) {
 	setDefaults(t, map[string]string{"rapid.seed": "1", "rapid.checks": "20000", "rapid.steps": "200"})
 	rapid.Check(t, func(rt *rapid.T) {
