Share the log fields of orders and name the restore of failed gangs

Cause: three log lines of the agent repeated the same six fields, and Restore had grown a loop that belongs to a function of its own. Ruled out: a change of behaviour; run_stopped gains the two fields that the other lines have. Result: make lint reports 0 issues; go test ./core/job ./io/worker ./io/scheduler passes.

--- a/core/job/restore.go
+++ b/core/job/restore.go
@@ -21,11 +21,7 @@
 	for _, sp := range p.Stages {
 		e.restoreStage(j, sp, p.Workers, now)
 	}
-	for _, g := range p.FailedGangs {
-		if s := j.stages[stageKey{g.Occurrence, g.Step}]; s != nil {
-			s.failedRun = g.Run
-		}
-	}
+	j.restoreFailedGangs(p.FailedGangs)
 	if j.state.Final() {
 		j.endedAt = now
 		for _, s := range j.stageList {
@@ -46,6 +42,15 @@
 	}
 }
 
+// restoreFailedGangs restores which runs of gangs are counted as failed already.
+func (j *Job) restoreFailedGangs(gangs []wire.FailedGang) {
+	for _, g := range gangs {
+		if s := j.stages[stageKey{g.Occurrence, g.Step}]; s != nil {
+			s.failedRun = g.Run
+		}
+	}
+}
+
 // stopBrokenGangs stops the members of gangs of which others have ended. The orders by
 // which the earlier scheduler did so are in no row.
 func (e *Engine) stopBrokenGangs(j *Job) {
--- a/io/worker/order.go
+++ b/io/worker/order.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"bramleythread/io/wire"
+
+	"github.com/rs/zerolog"
 )
 
 // executeOrder starts or stops a run and retries until the worker has given a
@@ -74,12 +76,11 @@
 	switch {
 	case err == nil && stop:
 		p.stopAcked, p.stopAckedAt = true, time.Now()
-		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Str("reason", p.reason).Int("calls", p.calls).Msg("run_stopped")
+		a.logOrder(r, p).Str("reason", p.reason).Msg("run_stopped")
 		a.requestPoll()
 		return true
 	case err == nil:
-		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Uint64("token", a.token()).
-			Uint64("ordered_by_epoch", p.epoch).Int("calls", p.calls).Dur("waited", time.Since(p.orderedAt)).Msg("run_started")
+		a.logOrder(r, p).Uint64("token", a.token()).Msg("run_started")
 		a.cfg.Metrics.startCalls.WithLabelValues(startAnswered).Inc()
 		if p.stop {
 			return false
@@ -90,8 +91,7 @@
 		a.report()
 		return true
 	case errors.As(err, &refused) && !stop:
-		a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).Str("reason", refused.Reason).
-			Uint64("ordered_by_epoch", p.epoch).Int("calls", p.calls).Dur("waited", time.Since(p.orderedAt)).Msg("start_refused")
+		a.logOrder(r, p).Str("reason", refused.Reason).Msg("start_refused")
 		a.cfg.Metrics.startCalls.WithLabelValues(startRefused).Inc()
 		p.stop, p.reason = true, refused.Reason
 		return false
@@ -105,6 +105,13 @@
 	}
 }
 
+// logOrder begins a log line on an order: its run, the scheduler that gave it, and the start
+// calls and the time since then.
+func (a *Agent) logOrder(r wire.TaskRun, p *pending) *zerolog.Event {
+	return a.cfg.Log.Info().Str("job", r.Task.Job).Int("step", r.Task.Step).Int("index", r.Task.Index).Int("run", r.Run).
+		Uint64("ordered_by_epoch", p.epoch).Int("calls", p.calls).Dur("waited", time.Since(p.orderedAt))
+}
+
 // resolveStops completes the acknowledged stops of runs that a later poll of the
 // worker does not list as running. Such a run will never start. If it has not
 // ended either, it is reported as refused.
