Keep the worker of a task's last failure across a change of scheduler

Callers lose jobs that other workers would have done: after a change of scheduler a failed task goes back to the worker that has just failed it, and with two attempts the job ends as failed. Cause: as with the failed runs of gangs, the row counts failures and the rest of what is known of them was in memory only. Ruled out: asking for better evidence before each restored attempt; without the worker's name there is nobody to avoid, and such jobs would all wait 1.5 s. Rows that keep every failure; those of tasks that run again are outdated after seconds, and would make a new scheduler suspect sound workers. Change: an optional field of the row names the workers of the last failures of waiting tasks, 50 at most; a new scheduler avoids and suspects them. TestRestoredBrokenGangIsStopped lets the failed gang wait for that now. Result: TestRestoredFailureAvoidsWorker failed before for a task and a gang after a change of scheduler, and passes; go test ./core/... passes.

--- a/core/job/commit.go
+++ b/core/job/commit.go
@@ -124,11 +124,44 @@
 		if s.failedRunActive() {
 			p.FailedGangs = append(p.FailedGangs, wire.FailedGang{Occurrence: s.key.occurrence, Step: s.key.step, Run: s.failedRun})
 		}
+		p.Failures = append(p.Failures, s.taskFailures(&p, workers, maxRowFailures-len(p.Failures))...)
 		p.Stages = append(p.Stages, sp)
 	}
 	return p
 }
 
+// maxRowFailures bounds the failures in the row of a job. If more of its tasks have
+// failed, the job is the likely cause, and not the workers.
+const maxRowFailures = 50
+
+// taskFailures returns up to n of the last failures of a stage's tasks that wait for
+// another attempt. The failures of those that run again say less about the workers the
+// longer they run.
+func (s *stage) taskFailures(p *wire.JobProgress, workers map[wire.WorkerRef]int, n int) []wire.TaskFailure {
+	var failures []wire.TaskFailure
+	for _, t := range s.tasks {
+		if t.done || t.run != nil || t.failedOn == nil || len(failures) >= n {
+			continue
+		}
+		failures = append(failures, wire.TaskFailure{
+			Occurrence: s.key.occurrence, Step: s.key.step, Index: t.index,
+			Worker: workerIndex(p, workers, t.failedOn), Early: t.lastFailed.early,
+		})
+	}
+	return failures
+}
+
+// workerIndex returns the 1-based index of a worker in p.Workers. It adds the worker if it
+// is not among them.
+func workerIndex(p *wire.JobProgress, workers map[wire.WorkerRef]int, w *Worker) int {
+	ref := w.ref()
+	if workers[ref] == 0 {
+		p.Workers = append(p.Workers, ref)
+		workers[ref] = len(p.Workers)
+	}
+	return workers[ref]
+}
+
 // progress returns the state of a stage's tasks to write and adds their workers to
 // p.Workers.
 func (s *stage) progress(p *wire.JobProgress, workers map[wire.WorkerRef]int) []wire.TaskProgress {
@@ -139,12 +172,7 @@
 			tp.Checkpoint = t.checkpoint
 		}
 		if t.run != nil {
-			ref := t.run.worker.ref()
-			if workers[ref] == 0 {
-				p.Workers = append(p.Workers, ref)
-				workers[ref] = len(p.Workers)
-			}
-			tp.Worker = workers[ref]
+			tp.Worker = workerIndex(p, workers, t.run.worker)
 		}
 		tasks = append(tasks, tp)
 	}
--- a/core/job/restore.go
+++ b/core/job/restore.go
@@ -22,6 +22,7 @@
 		e.restoreStage(j, sp, p.Workers, now)
 	}
 	j.restoreFailedGangs(p.FailedGangs)
+	e.restoreFailures(j, p, now)
 	if j.state.Final() {
 		j.endedAt = now
 		for _, s := range j.stageList {
@@ -51,6 +52,27 @@
 	}
 }
 
+// restoreFailures restores on which workers tasks have failed, and what that tells about
+// the workers, so that the next attempt does not go to the same one. When a failure
+// occurred is not known; it counts as recent.
+func (e *Engine) restoreFailures(j *Job, p *wire.JobProgress, now time.Time) {
+	for _, f := range p.Failures {
+		s := j.stages[stageKey{f.Occurrence, f.Step}]
+		if s == nil || f.Index < 0 || f.Index >= len(s.tasks) || f.Worker < 1 || f.Worker > len(p.Workers) {
+			continue
+		}
+		t, w := s.tasks[f.Index], e.workerFor(p.Workers[f.Worker-1])
+		t.failedOn, t.lastFailed = w, lastFailure{at: now, early: f.Early}
+		if s.step.Gang && s.failures > 0 {
+			s.lastFailed = t.lastFailed
+		}
+		if f.Early {
+			j.earlyFailures[w] = struct{}{}
+			w.health.recordFailure(failure{job: j.ID, early: true, blamed: len(j.earlyFailures) <= maxBlamedWorkers}, now)
+		}
+	}
+}
+
 // stopBrokenGangs stops the members of gangs of which others have ended. The orders by
 // which the earlier scheduler did so are in no row.
 func (e *Engine) stopBrokenGangs(j *Job) {
--- a/core/job/restore_test.go
+++ b/core/job/restore_test.go
@@ -280,6 +280,42 @@
 	}
 }
 
+// TestRestoredFailureAvoidsWorker guards against a job that uses its last attempt on the
+// worker that has just failed it, because the scheduler has changed in between.
+func TestRestoredFailureAvoidsWorker(t *testing.T) {
+	tests := map[string]wire.JobStep{"task": step(1, 8), "gang": gang(2, 8)}
+	for name, s := range tests {
+		for _, restarted := range []bool{false, true} { // the scheduler
+			t.Run(fmt.Sprintf("%s, restarted %t", name, restarted), func(t *testing.T) {
+				is := is.New(t)
+				f := newTestCluster(t)
+				f.workers(3)
+				f.e.Submit(f.job("j", 1, s), f.now) // two attempts
+				f.tick()
+				f.workers(3)
+				failed := f.runs("j")[0].worker.Node
+				f.report(failed, nil, map[wire.TaskID]wire.RunEnd{{Job: "j"}: wire.EndFailed})
+				f.tick()
+				if restarted {
+					f.restart()
+				}
+				for _, r := range f.runs("j") { // what is left of the gang
+					f.report(r.worker.Node, nil, map[wire.TaskID]wire.RunEnd{r.task.id(): wire.EndGangBroken})
+				}
+				for end := f.now.Add(maxProvenWait); len(f.runs("j")) < s.Count && f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+					f.workers(3)
+					f.tick()
+				}
+				is.Equal(len(f.runs("j")), s.Count)
+				for _, r := range f.runs("j") {
+					is.Equal(r.number, 2)
+					is.True(r.worker.Node != failed)
+				}
+			})
+		}
+	}
+}
+
 // TestRestoredBrokenGangIsStopped guards against a member of a gang that a new scheduler
 // starts again, or lets wait for the others, although one of them has ended.
 func TestRestoredBrokenGangIsStopped(t *testing.T) {
@@ -301,6 +337,12 @@
 			is.True(ok)
 			is.Equal(len(o.Starts), 0) // it would wait for the others in vain
 			f.tick()
+			if how == wire.EndFailed { // the gang waits for a worker that has not failed it
+				is.Equal(len(f.runs("j")), 0)
+				f.now = f.now.Add(provenWait + time.Millisecond)
+				f.workers(2)
+				f.tick()
+			}
 			is.Equal(len(f.runs("j")), 2)
 			for _, r := range f.runs("j") {
 				is.Equal(r.number, 2)
--- a/core/job/row_size_test.go
+++ b/core/job/row_size_test.go
@@ -16,6 +16,7 @@
 	tests := map[string]struct {
 		change     func(j *wire.Job)
 		checkpoint string
+		failing    int // rounds in which half of the runs fail
 	}{
 		"many overlapping occurrences": {change: func(j *wire.Job) {
 			j.RepeatCount, j.Interval, j.FirstRun = MaxOccurrences, time.Millisecond, testStart
@@ -28,6 +29,10 @@
 				j.Steps = append(j.Steps, wire.JobStep{Count: 1})
 			}
 		}},
+		"many failures": {change: func(j *wire.Job) {
+			j.RepeatCount, j.Interval, j.FirstRun, j.Attempts = MaxTasks/2, time.Millisecond, testStart, MaxTasks
+			j.Steps = []wire.JobStep{{Count: 2}}
+		}, failing: 5},
 		"long checkpoints": {change: func(j *wire.Job) {
 			j.Steps = []wire.JobStep{{Count: MaxTasks, Checkpoints: true}}
 		}, checkpoint: strings.Repeat("x", 300)},
@@ -70,6 +75,9 @@
 				for id := range f.e.workers[node(0)].runs {
 					if id.Index%2 == round%2 || j.Steps[0].Count == 1 {
 						ends[id] = wire.EndDone
+						if round < tt.failing {
+							ends[id] = wire.EndFailed
+						}
 					}
 				}
 				f.report(node(0), nil, ends)
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -13,7 +13,7 @@
 //msgp:shim WorkerState as:string using:string/WorkerState
 //msgp:shim RunEnd as:string using:string/RunEnd
 //msgp:shim SubmitOutcome as:string using:string/SubmitOutcome
-//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun SharedTask OccurrenceRange FailedGang
+//msgp:tuple TaskID TaskRun Resources WorkerRef TaskProgress StageProgress RunningTask EndedRun RefusedRun SharedTask OccurrenceRange FailedGang TaskFailure
 
 // JobState is the state of a job, as reported to callers.
 type JobState string
@@ -163,15 +163,26 @@
 	Run        int
 }
 
+// TaskFailure is the last failure of a task that waits for another attempt. Worker is the
+// 1-based index in JobProgress.Workers of the worker on which it failed.
+type TaskFailure struct {
+	Occurrence int
+	Step       int
+	Index      int
+	Worker     int
+	Early      bool // the run failed at once, or hung
+}
+
 // JobProgress is the persistent state of a job that has begun. Stages holds nothing
-// of the occurrences in Done. FailedGangs is separate from Stages, whose elements are
-// tuples of fixed length, so that earlier versions can read the row.
+// of the occurrences in Done. FailedGangs and Failures are separate from Stages, whose
+// elements are tuples of fixed length, so that earlier versions can read the row.
 type JobProgress struct {
 	State       JobState          `msg:"state"`
 	Workers     []WorkerRef       `msg:"workers"`
 	Stages      []StageProgress   `msg:"stages"`
 	Done        []OccurrenceRange `msg:"done,omitempty"` // occurrences of which all tasks are done
 	FailedGangs []FailedGang      `msg:"failed_gangs,omitempty"`
+	Failures    []TaskFailure     `msg:"failures,omitempty"` // not all, if there are many
 }
 
 // SchedulerLease is the row whose holder is the scheduler. Every transaction of
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -722,8 +722,8 @@
 func (z *JobProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Done == nil {
 		zb0001Len--
@@ -733,6 +733,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Failures == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -784,6 +788,18 @@
 				o = msgp.AppendInt(o, z.FailedGangs[za0004].Run)
 			}
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "failures"
+			o = append(o, 0xa8, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Failures)))
+			for za0005 := range z.Failures {
+				o, err = z.Failures[za0005].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Failures", za0005)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -967,6 +983,29 @@
 					return
 				}
 			}
+		case "failures":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failures")
+				return
+			}
+			if zb0010 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Failures) >= int(zb0010) {
+				z.Failures = (z.Failures)[:zb0010]
+			} else {
+				z.Failures = make([]TaskFailure, zb0010)
+			}
+			for za0005 := range z.Failures {
+				bts, err = z.Failures[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Failures", za0005)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -989,7 +1028,10 @@
 	for za0002 := range z.Stages {
 		s += z.Stages[za0002].Msgsize()
 	}
-	s += 5 + msgp.ArrayHeaderSize + (len(z.Done) * (9 + msgp.IntSize + msgp.IntSize)) + 13 + msgp.ArrayHeaderSize + (len(z.FailedGangs) * (21 + msgp.IntSize + msgp.IntSize + msgp.IntSize))
+	s += 5 + msgp.ArrayHeaderSize + (len(z.Done) * (9 + msgp.IntSize + msgp.IntSize)) + 13 + msgp.ArrayHeaderSize + (len(z.FailedGangs) * (21 + msgp.IntSize + msgp.IntSize + msgp.IntSize)) + 9 + msgp.ArrayHeaderSize
+	for za0005 := range z.Failures {
+		s += z.Failures[za0005].Msgsize()
+	}
 	return
 }
 
@@ -2848,6 +2890,66 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *TaskFailure) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.Step)
+	o = msgp.AppendInt(o, z.Index)
+	o = msgp.AppendInt(o, z.Worker)
+	o = msgp.AppendBool(o, z.Early)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskFailure) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Index, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
+	z.Worker, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Worker")
+		return
+	}
+	z.Early, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Early")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TaskFailure) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskID) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
