--- a/core/job/model_agent_test.go
+++ b/core/job/model_agent_test.go
@@ -16,7 +16,6 @@
 	modelConfirmAge  = 3 * time.Second // for which a replaced scheduler grants renewals
 	modelGrant       = 4 * time.Second // from a report on, to its agent
 	modelWorkerLease = 4 * time.Second
-	modelCancelLimit = 3 * time.Second
 )
 
 // modelAgent follows the rules of an agent (package worker), one step at a time.
@@ -44,7 +43,7 @@
 	refused    map[wire.TaskRun]bool
 }
 
-// modelPermission is the time within which starts may begin.
+// modelPermission is the time within which starts may begin. The zero value is not limited.
 type modelPermission struct{ length, until time.Duration }
 
 // modelPending is an order in progress.
@@ -144,7 +143,7 @@
 		return nil
 	}
 	c := &modelCall{token: a.workerToken(), run: r, stop: p.stop, leaseUntil: m.leaseUntil(a)}
-	if !c.stop && (c.leaseUntil.IsZero() || m.bootTime() > p.permission.until) {
+	if !c.stop && (c.leaseUntil.IsZero() || p.permission.length > 0 && m.bootTime() > p.permission.until) {
 		p.stop = true
 		return nil
 	}
@@ -160,7 +159,7 @@
 	if c.stop {
 		return
 	}
-	if at, ok := m.cancelled[c.run.Task.Job]; ok && m.bootTime()+p.length/2 > at+modelCancelLimit {
+	if at, ok := m.cancelled[c.run.Task.Job]; ok && m.cancelLimit > 0 && m.bootTime()+p.length/2 > at+m.cancelLimit {
 		m.rt.Fatalf("run %d of %v is called %v after the cancellation", c.run.Run, c.run.Task, m.bootTime()-at)
 	}
 	if a.info.State != wire.WorkerReady {
--- a/core/job/model_scheduler_test.go
+++ b/core/job/model_scheduler_test.go
@@ -50,6 +50,8 @@
 	failed     map[wire.TaskID]*modelFailures
 	submitted  map[string]wire.Job
 	cancelled  map[string]time.Duration // boot times at which cancellations were acknowledged
+
+	cancelLimit time.Duration // within which cancellations must take effect; 0 if there is none
 }
 
 // modelFailures are the numbers of the failed runs of a task, or of a gang under its
@@ -62,7 +64,8 @@
 func newModel(rt *rapid.T, t *testing.T) *model {
 	m := &model{
 		rt: rt, f: newTestCluster(t), done: make(map[wire.TaskID]bool), failed: make(map[wire.TaskID]*modelFailures), submitted: make(map[string]wire.Job), cancelled: make(map[string]time.Duration),
-		guaranteed: rapid.SampledFrom([]int{0, 16}).Draw(rt, "guaranteed"),
+		guaranteed:  rapid.SampledFrom([]int{0, 16}).Draw(rt, "guaranteed"),
+		cancelLimit: rapid.SampledFrom([]time.Duration{0, 3 * time.Second}).Draw(rt, "cancel limit"),
 	}
 	m.holder = &modelHolder{e: m.f.e, epoch: 1, conns: make(map[string]*modelConn), readAt: m.bootTime()}
 	for i := range rapid.IntRange(1, 3).Draw(rt, "workers") {
@@ -136,15 +139,23 @@
 		if o, ok = c.h.e.Orders(c.node); !ok {
 			return
 		}
-		o.StartPermission = CancellationPermission(modelCancelLimit, m.bootTime()-c.h.readAt)
-		if o.StartPermission == 0 || c.granted == 0 {
-			o.Starts = nil
-		}
+		m.permitStarts(c, &o)
 	}
 	o.Token, o.LastReportSent = c.token, c.granted
 	c.toAgent = append(c.toAgent, o)
 }
 
+// permitStarts limits the time of the starts in orders, if cancellations have a limit.
+func (m *model) permitStarts(c *modelConn, o *wire.WorkerOrders) {
+	if m.cancelLimit == 0 {
+		return
+	}
+	o.StartPermission = CancellationPermission(m.cancelLimit, m.bootTime()-c.h.readAt)
+	if o.StartPermission == 0 || c.granted == 0 {
+		o.Starts = nil
+	}
+}
+
 // deliver hands the next report on a connection to its scheduler.
 func (m *model) deliver(c *modelConn) {
 	if c == nil || len(c.toScheduler) == 0 {
