Review: a large job on a link of 10 Mbit/s keeps a worker disconnected

Cause: the deadline of a connection is set once for a whole frame, so that a message of 1.2 MB on such a link ends it before it has arrived, each time. The stand-ins give each process one core and links with a delay and a bandwidth.

--- a/review/_standin3/delay.go
+++ b/review/_standin3/delay.go
@@ -12,7 +12,7 @@
 const zoneDelay = 5400 * time.Microsecond
 
 // delayProxy forwards connections to an address in another zone.
-func delayProxy(listen, target string) {
+func delayProxy(listen, target string, mbps int) {
 	l, err := net.Listen("tcp", listen)
 	check(err)
 	go func() {
@@ -28,8 +28,8 @@
 					_ = in.Close()
 					return
 				}
-				go delayed(out, in)
-				delayed(in, out)
+				go delayed(out, in, mbps)
+				delayed(in, out, mbps)
 			}()
 		}
 	}()
@@ -40,16 +40,22 @@
 	data []byte
 }
 
-// delayed copies what src sends to dst, each part zoneDelay later.
-func delayed(dst, src net.Conn) {
-	chunks := make(chan chunk, 1024)
+// delayed copies what src sends to dst, each part zoneDelay later, at the given
+// bandwidth.
+func delayed(dst, src net.Conn, mbps int) {
+	chunks := make(chan chunk, 2+mbps/8) // the window of the link
+	sent := time.Now()
 	go func() {
 		defer close(chunks)
 		for {
 			buf := make([]byte, 32<<10)
 			n, err := src.Read(buf)
 			if n > 0 {
-				chunks <- chunk{time.Now().Add(zoneDelay), buf[:n]}
+				if now := time.Now(); sent.Before(now) {
+					sent = now
+				}
+				sent = sent.Add(time.Duration(n) * 8 * time.Microsecond / time.Duration(mbps))
+				chunks <- chunk{sent.Add(zoneDelay), buf[:n]}
 			}
 			if err != nil {
 				return
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(rec *record, trouble bool) *system{
 	"ends":   ends,
 	"soak":   soak,
+	"link":   link,
 	"orders": orders,
 }
 
--- a/review/_standin3/system.go
+++ b/review/_standin3/system.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -23,6 +24,9 @@
 	tenantKey   = "d4a3hwrr6x73d3zji9n7"
 )
 
+// linkMbps is the bandwidth of the link of an entry.
+var linkMbps = 1000
+
 type resources struct{ Cpu, MemMb, Gpu int }
 
 // process is an entry or an agent, started with the command of the deploy file.
@@ -32,6 +36,7 @@
 	exited                   chan struct{}
 	log                      *os.File
 	store                    *access
+	sys                      *system
 }
 
 // system is the program's processes and their stand-ins.
@@ -65,6 +70,9 @@
 
 // newSystem starts a store, workers with their agents, and entries.
 func newSystem(rec *record, entries, workers int, capacity resources) *system {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() { check(fmt.Errorf("ended by %v", <-signals)) }()
 	dir, err := os.MkdirTemp("", "review-3-")
 	check(err)
 	s := &system{dir: dir, store: newStore(), rec: rec, gangs: &gangs{members: make(map[string]map[*run]*life)}}
@@ -107,12 +115,12 @@
 }
 
 func (s *system) newProcess(role, name, ip string, w *worker) *process {
-	p := &process{name: name, role: role, ip: ip, settings: filepath.Join(s.dir, name+".toml")}
+	p := &process{sys: s, name: name, role: role, ip: ip, settings: filepath.Join(s.dir, name+".toml")}
 	var view func(row) row
 	if w != nil {
 		view = s.fromOtherZone
 	} else {
-		delayProxy(at(ip, s.port+11), at(ip, s.port))
+		delayProxy(at(ip, s.port+11), at(ip, s.port), linkMbps)
 	}
 	p.store = s.store.listen(at(ip, s.port+10), view)
 	class, memory, app := "front", 284, ""
@@ -146,7 +154,7 @@
 Cores = 1
 MemoryMb = %d
 MaxFds = 4100
-LinkMbps = 1000.0
+LinkMbps = %d.0
 DiskMb = 0
 [FaultTolerance]
 Machines = 1
@@ -200,7 +208,7 @@
 BlobBytes = 8388608
 BlobMs = 25.0
 BlobMbPerS = 80.0
-`, name, role, class, class, ip, s.port, s.port+2, heartbeatMs, app, at(ip, s.port+3), at(ip, s.port+5), at(ip, s.port+6), memory, p.store.addr)
+`, name, role, class, class, ip, s.port, s.port+2, heartbeatMs, app, at(ip, s.port+3), at(ip, s.port+5), at(ip, s.port+6), memory, linkMbps, p.store.addr)
 	check(os.WriteFile(p.settings, []byte(text), 0o600))
 	return p
 }
@@ -214,12 +222,12 @@
 	cmd := exec.Command(program, p.role, "-boot")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BRAMLEYTHREAD_BOOT=" + p.settings}
 	cmd.Stdout, cmd.Stderr = p.log, p.log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	check(startOnOneCore(cmd))
 	exited := make(chan struct{})
 	p.cmd, p.exited = cmd, exited
 	go func() {
-		_ = cmd.Wait()
+		err := cmd.Wait()
+		p.sys.rec.note("%s has exited: %v", p.name, err)
 		close(exited)
 	}()
 }
