--- a/review/_standin3/core.go
+++ b/review/_standin3/core.go
@@ -42,6 +42,12 @@
 	return cmd.Start()
 }
 
+// limitFiles sets the number of descriptors that a process may open.
+func limitFiles(pid, n int) {
+	limit := syscall.Rlimit{Cur: uint64(n), Max: uint64(n)}
+	_, _, _ = syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(pid), syscall.RLIMIT_NOFILE, uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+}
+
 // affinity reads or sets the mask of this thread.
 func affinity(call uintptr, mask *[16]uint64) bool {
 	_, _, errno := syscall.RawSyscall(call, 0, unsafe.Sizeof(*mask), uintptr(unsafe.Pointer(mask)))
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -15,10 +15,11 @@
 // cases are the plays by name. trouble is false for the same play without its
 // disruption.
 var cases = map[string]func(rec *record, trouble bool) *system{
-	"ends":   ends,
-	"soak":   soak,
-	"link":   link,
-	"orders": orders,
+	"ends":     ends,
+	"soak":     soak,
+	"takeover": takeover,
+	"rush":     rush,
+	"link":     link,
 }
 
 func main() {
--- a/review/_standin3/record.go
+++ b/review/_standin3/record.go
@@ -24,15 +24,15 @@
 func (s spec) fails(task string, run int) bool { return s.fail != nil && s.fail(task, run) }
 
 type step struct {
-	Count                  int
-	Cpu, MemMb, Gpu        int    `json:",omitempty"`
-	EstimatedMs            int64  `json:",omitempty"`
-	After                  []int  `json:",omitempty"`
-	SavesProgress, Gang    bool   `json:",omitempty"`
-	SameRack, LongRunning  bool   `json:",omitempty"`
-	AntiAffinity, MayMiss  int    `json:",omitempty"`
-	Requirements, DataRack string `json:",omitempty"`
-	spec                   spec
+	Count                         int
+	Cpu, MemMb, Gpu               int    `json:",omitempty"`
+	EstimatedMs                   int64  `json:",omitempty"`
+	After                         []int  `json:",omitempty"`
+	SavesProgress, Gang           bool   `json:",omitempty"`
+	SameRack, LongRunning         bool   `json:",omitempty"`
+	AntiAffinity, MayMiss         int    `json:",omitempty"`
+	Requirements, DataRack, Image string `json:",omitempty"`
+	spec                          spec
 }
 
 // job is a job as its client knows it.
@@ -292,6 +292,11 @@
 	}
 }
 
+// waits reports whether no work unit's turn has come.
+func (j *job) waits() bool {
+	return j.RepeatCount > 0 && time.Now().Before(time.UnixMilli(j.FirstRunMs))
+}
+
 func (j *job) endless() bool {
 	for _, s := range j.Steps {
 		if s.LongRunning {
--- a/review/_standin3/store.go
+++ b/review/_standin3/store.go
@@ -73,7 +73,7 @@
 }
 
 // listen serves the store at an address.
-func (s *store) listen(addr string, view func(row) row) *access {
+func (s *store) listen(addr string, view func(row) row, mbps int) *access {
 	a := &access{addr: addr, view: view}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/rows-tx", func(w http.ResponseWriter, r *http.Request) { s.tx(a, w, r) })
@@ -81,6 +81,7 @@
 	mux.HandleFunc("GET /-/rows-feed", func(w http.ResponseWriter, r *http.Request) { s.feed(a, w, r) })
 	l, err := net.Listen("tcp", addr)
 	check(err)
+	l = &throttledListener{Listener: l, link: &throttle{mbps: mbps}}
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			switch a.mode.Load() {
