Limit silence on connections, and send large orders in parts

The agent loses its link of 10 Mbit/s about once a second, so that nothing else on that worker starts or stops. Cause: the read deadline of a connection (0.8 s) is set once for a frame, so 1.2 MB of orders end the connection although its bytes keep arriving; so would the write deadline (2 s). The next connection gets the same message. Ruled out: the size limit of a frame (16 MiB). Renewed deadlines alone do not do: starts are permitted from the agent's last report, and what is on its way for longer arrives with an expired permission. Change: deadlines are renewed as bytes arrive or are taken. A message holds at most 64 KiB of starts, first those that the agent has yet to take; the others are listed without contents, so that nothing in progress is stopped, and follow once a report shows what was taken. Orders below the limit are as before. What relied on short frames: the scheduler sends its other messages from a queue for each connection, not under its lock; the agent sends its reports in one goroutine, and one for all runs that have started meanwhile.

--- a/core/job/engine.go
+++ b/core/job/engine.go
@@ -28,6 +28,10 @@
 	// may be started there. If it is 0, there is no such limit.
 	EvacuationLimit time.Duration
 
+	// MaxStartsSize limits the starts in one message of orders, in bytes. If it is 0,
+	// the constant maxStartsSize applies.
+	MaxStartsSize int
+
 	// Policy disables rules of placement and ordering. The zero value enables
 	// all of them.
 	Policy Policy
--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -19,6 +19,8 @@
 	ends      map[string]int
 	rows      map[string]wire.JobProgress // committed progress by job
 	decisions []Decision
+
+	maxStartsSize int // of the engines
 }
 
 var testStart = time.Date(2027, 6, 1, 8, 0, 0, 0, time.UTC)
@@ -31,7 +33,7 @@
 
 func (f *testCluster) config() Config {
 	return Config{
-		LeaseLimit: 11 * time.Second, Retention: 2 * time.Minute, RackFactor: 3,
+		LeaseLimit: 11 * time.Second, Retention: 2 * time.Minute, RackFactor: 3, MaxStartsSize: f.maxStartsSize,
 		OnDecision: func(d Decision) { f.decisions = append(f.decisions, d) },
 	}
 }
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -125,6 +125,7 @@
 	jobVersion   uint64 // version of the job that records the run
 	restored     bool   // placed by an earlier scheduler
 	startOrdered bool   // this scheduler has ordered its start
+	startTaken   bool   // the agent's latest report lists its start as in progress
 	placedAt     time.Time
 	startedAt    time.Time     // when the worker first listed it
 	percent      int           // completed share of the work
--- a/core/job/model_agent_test.go
+++ b/core/job/model_agent_test.go
@@ -115,6 +115,12 @@
 			a.pending[r] = &modelPending{permission: a.permission, stop: a.info.State != wire.WorkerReady}
 		}
 	}
+	for _, r := range o.OtherStarts {
+		listed[r] = true
+		if p := a.pending[r]; p != nil {
+			p.permission = a.permission
+		}
+	}
 	for _, r := range o.Stops {
 		listed[r] = true
 		switch p := a.pending[r]; {
--- a/core/job/model_scheduler_test.go
+++ b/core/job/model_scheduler_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"testing"
 	"time"
 
 	"bramleythread/io/wire"
@@ -61,9 +60,9 @@
 	acknowledged map[int]bool // to the worker
 }
 
-func newModel(rt *rapid.T, t *testing.T) *model {
+func newModel(rt *rapid.T, f *testCluster) *model {
 	m := &model{
-		rt: rt, f: newTestCluster(t), done: make(map[wire.TaskID]bool), failed: make(map[wire.TaskID]*modelFailures), submitted: make(map[string]wire.Job), cancelled: make(map[string]time.Duration),
+		rt: rt, f: f, done: make(map[wire.TaskID]bool), failed: make(map[wire.TaskID]*modelFailures), submitted: make(map[string]wire.Job), cancelled: make(map[string]time.Duration),
 		guaranteed:  rapid.SampledFrom([]int{0, 16}).Draw(rt, "guaranteed"),
 		cancelLimit: rapid.SampledFrom([]time.Duration{0, 3 * time.Second}).Draw(rt, "cancel limit"),
 	}
@@ -152,7 +151,7 @@
 	}
 	o.StartPermission = CancellationPermission(m.cancelLimit, m.bootTime()-c.h.readAt)
 	if o.StartPermission == 0 || c.granted == 0 {
-		o.Starts = nil
+		o.Starts, o.OtherStarts = nil, nil
 	}
 }
 
--- a/core/job/model_test.go
+++ b/core/job/model_test.go
@@ -205,7 +205,19 @@
 func TestDecisionsUnderDelayedMessages(t *testing.T) {
 	setDefaults(t, map[string]string{"rapid.seed": "1", "rapid.checks": "20000", "rapid.steps": "200"})
 	rapid.Check(t, func(rt *rapid.T) {
-		m := newModel(rt, t)
+		m := newModel(rt, newTestCluster(t))
+		rt.Repeat(m.actions())
+	})
+}
+
+// TestDecisionsWithStartsInParts plays the same with orders that hold one start each.
+func TestDecisionsWithStartsInParts(t *testing.T) {
+	setDefaults(t, map[string]string{"rapid.seed": "2", "rapid.checks": "5000", "rapid.steps": "200"})
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newTestCluster(t)
+		f.maxStartsSize = 1
+		f.e = New(f.config(), f.now)
+		m := newModel(rt, f)
 		rt.Repeat(m.actions())
 	})
 }
--- a/core/job/orders.go
+++ b/core/job/orders.go
@@ -21,6 +21,10 @@
 	return nodes
 }
 
+// maxStartsSize limits the starts in one message. On a slow link, what follows must not
+// wait until the permission to start has expired.
+const maxStartsSize = 64 << 10 // bytes
+
 // Orders returns all current orders for the agent of a node: to start the durable
 // runs that its worker does not list yet, to stop the runs that must end, and to
 // pace the background runs beside those with a latency target.
@@ -30,6 +34,7 @@
 		return wire.WorkerOrders{}, false
 	}
 	o := wire.WorkerOrders{Instance: w.Instance, Born: w.Born, AckedEnds: w.ackedEnd, Slowness: e.slownessOf(w)}
+	var starts []*run
 	for _, r := range w.sortedRuns() {
 		id := r.task.id()
 		if step := r.task.stage.step; (step.TargetLatency > 0 || step.UsesSpareCPU) && r.phase != stopping {
@@ -39,10 +44,10 @@
 		case r.phase == stopping && r.durable():
 			o.Stops = append(o.Stops, wire.TaskRun{Task: id, Run: r.number})
 		case r.phase == ordered && r.durable() && e.maySendStarts(w):
-			r.startOrdered = true
-			o.Starts = append(o.Starts, wire.StartTask{Task: id, Run: r.number, Spec: r.task.stage.job.Spec, Checkpoint: r.task.checkpoint, Ticket: r.task.stage.ticket(w)})
+			starts = append(starts, r)
 		}
 	}
+	e.addStarts(&o, w, starts)
 	for _, stray := range slices.SortedFunc(maps.Keys(w.unexpectedRuns), func(a, b wire.TaskRun) int {
 		return cmp.Or(compareTasks(a.Task, b.Task), cmp.Compare(a.Run, b.Run))
 	}) {
@@ -52,3 +57,25 @@
 	}
 	return o, true
 }
+
+// addStarts adds starts to orders. If they are too large for one message, those that the
+// agent has yet to take come first, and those beyond the limit are only listed.
+func (e *Engine) addStarts(o *wire.WorkerOrders, w *Worker, runs []*run) {
+	starts, total := make([]wire.StartTask, len(runs)), 0
+	for i, r := range runs {
+		starts[i] = wire.StartTask{Task: r.task.id(), Run: r.number, Spec: r.task.stage.job.Spec, Checkpoint: r.task.checkpoint, Ticket: r.task.stage.ticket(w)}
+		total += starts[i].Msgsize()
+	}
+	limit := cmp.Or(e.cfg.MaxStartsSize, maxStartsSize)
+	size := 0
+	for i, r := range runs {
+		n := starts[i].Msgsize()
+		if total > limit && (r.startTaken || size > 0 && size+n > limit) {
+			o.OtherStarts = append(o.OtherStarts, wire.TaskRun{Task: starts[i].Task, Run: r.number})
+			continue
+		}
+		size += n
+		r.startOrdered = true
+		o.Starts = append(o.Starts, starts[i])
+	}
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -42,6 +42,7 @@
 		}
 	}
 	w.observedAt = r.RunningAt
+	w.markTakenStarts(r.Pending)
 	e.reconcileRuns(w, r.Running, now)
 	e.endAbsentRestoredRuns(w, r, now)
 	if w.State == wire.WorkerDraining {
@@ -198,6 +199,18 @@
 	}
 }
 
+// markTakenStarts marks the runs whose starts are in progress at the agent.
+func (w *Worker) markTakenStarts(pending []wire.TaskRun) {
+	for _, run := range w.runs {
+		run.startTaken = false
+	}
+	for _, t := range pending {
+		if run := w.runs[t.Task]; run != nil && run.number == t.Run {
+			run.startTaken = true
+		}
+	}
+}
+
 // endAbsentRestoredRuns ends the runs placed by an earlier scheduler that are to be
 // stopped, if the worker neither runs them nor can still start them. It cannot start
 // them, because it has acknowledged this scheduler's token, its agent has no pending
--- a/io/frame/conn.go
+++ b/io/frame/conn.go
@@ -7,9 +7,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"runtime/debug"
@@ -28,7 +30,7 @@
 	MaxInFlight       = 4096     // messages whose handler has not returned
 	HandshakeTimeout  = 2 * time.Second
 	ReadTimeout       = 2500 * time.Millisecond
-	WriteTimeout      = 2 * time.Second
+	WriteTimeout      = 2 * time.Second // without any byte taken by the peer
 	KeepAliveInterval = 200 * time.Millisecond
 
 	handlerPollInterval = 5 * time.Millisecond
@@ -37,6 +39,7 @@
 	readBufferSize   = 64 << 10 // bytes
 	handshakeBuffer  = 1 << 10  // bytes; a peer that has not authenticated gets no more
 	bodyStep         = 64 << 10 // bytes of a frame's body for which memory is allocated at first
+	writeStep        = 64 << 10 // bytes that are written under one deadline
 	maxReusedBuffer  = 1 << 20  // bytes; a larger buffer is not reused
 	maxHandshakeBody = 4 << 10  // bytes
 )
@@ -92,8 +95,9 @@
 	// its own. It returns the reply, or nil to send none.
 	Handle func(ctx context.Context, c *Conn, m wire.Message) wire.Message
 
-	// IdleTimeout is the time without any frame, keep-alives included, after
-	// which the connection is closed. If it is 0, ReadTimeout applies.
+	// IdleTimeout is the time in which no byte arrives, keep-alives included, after
+	// which the connection is closed. If it is 0, ReadTimeout applies. A frame may
+	// take longer.
 	IdleTimeout time.Duration
 
 	// MaxHandshakes is the number of connections that may be in their handshake at a
@@ -252,7 +256,9 @@
 }
 
 func (c *Conn) startLoops() {
-	c.r = bufio.NewReaderSize(c.r, readBufferSize)
+	buffered, _ := c.r.Peek(c.r.Buffered()) // what has followed the handshake
+	rest := &idleReader{nc: c.nc, timeout: cmp.Or(c.cfg.IdleTimeout, ReadTimeout)}
+	c.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(buffered), rest), readBufferSize)
 	c.wg.Add(2)
 	go c.readLoop()
 	go c.keepAliveLoop()
@@ -276,10 +282,6 @@
 	defer c.wg.Done()
 	var buf []byte
 	for {
-		if err := c.nc.SetReadDeadline(time.Now().Add(cmp.Or(c.cfg.IdleTimeout, ReadTimeout))); err != nil {
-			c.closeWith(err)
-			return
-		}
 		h, err := readHeader(c.r, MaxBodySize)
 		if err != nil {
 			c.closeWith(err)
@@ -370,38 +372,3 @@
 		}
 	}
 }
-
-func (c *Conn) writeMessage(m wire.Message, id uint64, flags byte) error {
-	if n := m.Msgsize(); n > MaxBodySize {
-		return &LimitError{Quantity: "message size", Value: n, Limit: MaxBodySize}
-	}
-	err := c.writeFrame(m.Kind(), flags, id, m)
-	if err != nil {
-		c.closeWith(err)
-	}
-	return err
-}
-
-func (c *Conn) writeFrame(k wire.Kind, flags byte, id uint64, m wire.Message) error {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	if cause := c.closeCause(); cause != nil {
-		return &ClosedError{Peer: c.peer.Name, Cause: cause}
-	}
-	var err error
-	c.writeBuf, err = appendFrame(c.writeBuf[:0], k, flags, id, m)
-	if err != nil {
-		return err
-	}
-	now := time.Now()
-	_ = c.nc.SetWriteDeadline(now.Add(WriteTimeout))
-	c.lastWrite.Store(now.UnixNano())
-	_, err = c.nc.Write(c.writeBuf)
-	if cap(c.writeBuf) > maxReusedBuffer {
-		c.writeBuf = nil
-	}
-	if err != nil {
-		return &ClosedError{Peer: c.peer.Name, Sent: true, Cause: err}
-	}
-	return nil
-}
--- a/io/scheduler/holder.go
+++ b/io/scheduler/holder.go
@@ -33,24 +33,24 @@
 
 	mu             sync.Mutex
 	engine         *job.Engine
-	agents         map[string]*agentLink    // keyed by node
-	links          map[*frame.Conn]struct{} // connections of agents and entries
-	agentConns     uint64                   // number of agent connections so far; part of their fencing tokens
-	confirmedAt    time.Duration            // boot time of the last commit of the lease; copy of writer.committedAt that mu guards
-	offered        bool                     // other entries have been asked to take over
-	closed         bool                     // no more submissions and connections are accepted
-	commitDuration time.Duration            // of the last committed transaction
-	successorLease wire.SchedulerLease      // of the process that took over; epoch 0 if unknown
-	cancelRun      context.CancelFunc       // stops run
-	failure        error                    // unexpected error that ends the term
-	queued         []*submission            // submissions for the next transactions
-	unfinished     map[string]*submission   // submissions without an outcome, by job ID
-	orphans        map[string]time.Time     // when cancellations without a job were read, by job ID
-	deleted        map[string]uint64        // revisions at which rows of jobs were deleted, which the watch may not have passed
-	jobsReadAt     time.Duration            // boot time as of which the job table is known
-	startsWithheld bool                     // it is too old for orders to start
-	loading        bool                     // the tables are being read; agents only get their tokens and the permission to renew leases
-	adviceMu       sync.Mutex               // the service handles one request at a time from each machine
+	agents         map[string]*agentLink   // keyed by node
+	links          map[*frame.Conn]*outbox // connections of agents and entries
+	agentConns     uint64                  // number of agent connections so far; part of their fencing tokens
+	confirmedAt    time.Duration           // boot time of the last commit of the lease; copy of writer.committedAt that mu guards
+	offered        bool                    // other entries have been asked to take over
+	closed         bool                    // no more submissions and connections are accepted
+	commitDuration time.Duration           // of the last committed transaction
+	successorLease wire.SchedulerLease     // of the process that took over; epoch 0 if unknown
+	cancelRun      context.CancelFunc      // stops run
+	failure        error                   // unexpected error that ends the term
+	queued         []*submission           // submissions for the next transactions
+	unfinished     map[string]*submission  // submissions without an outcome, by job ID
+	orphans        map[string]time.Time    // when cancellations without a job were read, by job ID
+	deleted        map[string]uint64       // revisions at which rows of jobs were deleted, which the watch may not have passed
+	jobsReadAt     time.Duration           // boot time as of which the job table is known
+	startsWithheld bool                    // it is too old for orders to start
+	loading        bool                    // the tables are being read; agents only get their tokens and the permission to renew leases
+	adviceMu       sync.Mutex              // the service handles one request at a time from each machine
 }
 
 func newHolder(cfg Config, w *writer) *holder {
@@ -60,7 +60,7 @@
 		wake:        make(chan struct{}, 1),
 		engine:      job.New(cfg.Engine, time.Now()),
 		agents:      make(map[string]*agentLink),
-		links:       make(map[*frame.Conn]struct{}),
+		links:       make(map[*frame.Conn]*outbox),
 		unfinished:  make(map[string]*submission),
 		orphans:     make(map[string]time.Time),
 		deleted:     make(map[string]uint64),
--- a/io/scheduler/panic_test.go
+++ b/io/scheduler/panic_test.go
@@ -24,6 +24,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startCandidateOn(t, l, store, change)
+}
+
+func startCandidateOn(t *testing.T, l net.Listener, store platform.Store, change func(cfg *Config)) *Candidate {
+	t.Helper()
 	cfg := Config{
 		Node: "entry-0", Address: l.Addr().(*net.TCPAddr).AddrPort(), Store: store, Log: zerolog.Nop(),
 		Metrics: NewMetrics(prometheus.NewRegistry()), Guarantees: func() map[string]int { return nil },
--- a/io/scheduler/serve.go
+++ b/io/scheduler/serve.go
@@ -54,14 +54,15 @@
 }
 
 // send sends a message that may be lost. A process whose connection has ended
-// reads the lease from the store.
+// reads the lease from the store. The caller holds mu.
 func (h *holder) send(c *frame.Conn, m wire.Message) {
-	if c.Closed() {
+	o := h.links[c]
+	switch {
+	case o == nil:
+	case c.Closed():
 		delete(h.links, c)
-		return
-	}
-	if err := c.Send(m); err != nil {
-		h.cfg.Log.Debug().Str("peer", c.Peer().Name).Err(err).Msg("message_not_sent")
+	case !o.add(m):
+		h.cfg.Log.Debug().Str("peer", c.Peer().Name).Msg("message_not_sent")
 	}
 }
 
@@ -74,7 +75,9 @@
 		c.Close()
 		return
 	}
-	h.links[c] = struct{}{}
+	o := newOutbox(c)
+	h.links[c] = o
+	h.start(o.run)
 	if p.Role != wire.RoleAgent {
 		return
 	}
@@ -214,7 +217,7 @@
 		h.startsWithheld = true
 		h.cfg.Log.Warn().Dur("age", h.jobsAge()).Msg("starts_withheld")
 	}
-	o.Starts = nil
+	o.Starts, o.OtherStarts = nil, nil
 }
 
 // startPermission returns the shorter permission of those that the limits of evacuations
@@ -231,13 +234,13 @@
 	}
 }
 
-// closeConns closes all connections, so that agents and entries look for
-// another scheduler.
+// closeConns closes all connections behind the messages that wait, so that agents and
+// entries look for another scheduler.
 func (h *holder) closeConns() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for c := range h.links {
-		c.Close()
+	for _, o := range h.links {
+		o.close()
 	}
 	clear(h.links)
 	clear(h.agents)
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -286,10 +286,16 @@
 	AckedEnds      int           `msg:"acked"` // ends up to this number are persisted
 	Starts         []StartTask   `msg:"starts"`
 	Stops          []TaskRun     `msg:"stops"`
-	Shared         []SharedTask  `msg:"shared,omitempty"`
 
-	// StartPermission is how long after LastReportSent a start in Starts may begin
-	// or be retried; 0 means without limit.
+	// OtherStarts are current starts that Starts does not hold, since a message has a
+	// limited size. The agent has taken them already, or they follow once its reports
+	// show that it has taken those before them.
+	OtherStarts []TaskRun `msg:"other_starts,omitempty"`
+
+	Shared []SharedTask `msg:"shared,omitempty"`
+
+	// StartPermission is how long after LastReportSent a start in Starts or OtherStarts
+	// may begin or be retried; 0 means without limit.
 	StartPermission time.Duration `msg:"start_permission,omitempty"`
 
 	Slowness *WorkerSlowness `msg:"slowness,omitempty"` // of the worker, to be returned in reports
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -3318,21 +3318,25 @@
 func (z *WorkerOrders) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
-	if z.Shared == nil {
+	if z.OtherStarts == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.StartPermission == 0 {
+	if z.Shared == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
-	if z.Slowness == nil {
+	if z.StartPermission == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.Slowness == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -3383,23 +3387,38 @@
 			o = msgp.AppendInt(o, z.Stops[za0002].Run)
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "other_starts"
+			o = append(o, 0xac, 0x6f, 0x74, 0x68, 0x65, 0x72, 0x5f, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.OtherStarts)))
+			for za0003 := range z.OtherStarts {
+				// array header, size 2
+				o = append(o, 0x92)
+				o, err = z.OtherStarts[za0003].Task.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "OtherStarts", za0003, "Task")
+					return
+				}
+				o = msgp.AppendInt(o, z.OtherStarts[za0003].Run)
+			}
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "shared"
 			o = append(o, 0xa6, 0x73, 0x68, 0x61, 0x72, 0x65, 0x64)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Shared)))
-			for za0003 := range z.Shared {
-				o, err = z.Shared[za0003].MarshalMsg(o)
+			for za0004 := range z.Shared {
+				o, err = z.Shared[za0004].MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Shared", za0003)
+					err = msgp.WrapError(err, "Shared", za0004)
 					return
 				}
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "start_permission"
 			o = append(o, 0xb0, 0x73, 0x74, 0x61, 0x72, 0x74, 0x5f, 0x70, 0x65, 0x72, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e)
 			o = msgp.AppendDuration(o, z.StartPermission)
 		}
-		if (zb0001Mask & 0x800) == 0 { // if not omitted
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
 			// string "slowness"
 			o = append(o, 0xa8, 0x73, 0x6c, 0x6f, 0x77, 0x6e, 0x65, 0x73, 0x73)
 			if z.Slowness == nil {
@@ -3541,26 +3560,64 @@
 					return
 				}
 			}
-		case "shared":
+		case "other_starts":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Shared")
+				err = msgp.WrapError(err, "OtherStarts")
 				return
 			}
 			if zb0005 > zbb7e218elimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if cap(z.Shared) >= int(zb0005) {
-				z.Shared = (z.Shared)[:zb0005]
+			if cap(z.OtherStarts) >= int(zb0005) {
+				z.OtherStarts = (z.OtherStarts)[:zb0005]
 			} else {
-				z.Shared = make([]SharedTask, zb0005)
+				z.OtherStarts = make([]TaskRun, zb0005)
 			}
-			for za0003 := range z.Shared {
-				bts, err = z.Shared[za0003].UnmarshalMsg(bts)
+			for za0003 := range z.OtherStarts {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Shared", za0003)
+					err = msgp.WrapError(err, "OtherStarts", za0003)
+					return
+				}
+				if zb0006 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0006}
+					return
+				}
+				bts, err = z.OtherStarts[za0003].Task.UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "OtherStarts", za0003, "Task")
+					return
+				}
+				z.OtherStarts[za0003].Run, bts, err = msgp.ReadIntBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "OtherStarts", za0003, "Run")
+					return
+				}
+			}
+		case "shared":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Shared")
+				return
+			}
+			if zb0007 > zbb7e218elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Shared) >= int(zb0007) {
+				z.Shared = (z.Shared)[:zb0007]
+			} else {
+				z.Shared = make([]SharedTask, zb0007)
+			}
+			for za0004 := range z.Shared {
+				bts, err = z.Shared[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Shared", za0004)
 					return
 				}
 			}
@@ -3609,9 +3666,13 @@
 	for za0002 := range z.Stops {
 		s += 1 + z.Stops[za0002].Task.Msgsize() + msgp.IntSize
 	}
+	s += 13 + msgp.ArrayHeaderSize
+	for za0003 := range z.OtherStarts {
+		s += 1 + z.OtherStarts[za0003].Task.Msgsize() + msgp.IntSize
+	}
 	s += 7 + msgp.ArrayHeaderSize
-	for za0003 := range z.Shared {
-		s += z.Shared[za0003].Msgsize()
+	for za0004 := range z.Shared {
+		s += z.Shared[za0004].Msgsize()
 	}
 	s += 17 + msgp.DurationSize + 9
 	if z.Slowness == nil {
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -53,6 +53,7 @@
 	done         chan struct{}
 	wg           sync.WaitGroup
 	pollRequests chan struct{} // requests an immediate poll of the worker
+	reportNeeded chan struct{} // requests an immediate report
 	ackSignal    chan struct{} // signals newly acknowledged ends
 
 	downCalls      int  // consecutive hold calls that found no worker process; used by holdLoop only
@@ -108,6 +109,7 @@
 	a := &Agent{
 		cfg: cfg, start: time.Now(), ctx: ctx, stop: cancel, done: make(chan struct{}),
 		pollRequests:   make(chan struct{}, 1),
+		reportNeeded:   make(chan struct{}, 1),
 		ackSignal:      make(chan struct{}, 1),
 		running:        make(map[wire.TaskRun]wire.RunningTask),
 		unlistedStarts: make(map[wire.TaskRun]time.Time),
@@ -250,12 +252,8 @@
 	if !a.polled || o.Instance != a.info.Instance || o.Born != a.info.Born {
 		return
 	}
-	listed := make(map[wire.TaskRun]bool, len(o.Starts)+len(o.Stops))
-	for _, s := range o.Starts {
-		r := wire.TaskRun{Task: s.Task, Run: s.Run}
-		listed[r] = true
-		a.applyStart(r, s)
-	}
+	listed := make(map[wire.TaskRun]bool, len(o.Starts)+len(o.OtherStarts)+len(o.Stops))
+	a.applyStarts(o, listed)
 	for _, r := range o.Stops {
 		listed[r] = true
 		a.applyStop(r)
@@ -272,9 +270,29 @@
 	}
 }
 
+// applyStarts begins the starts that are ordered and extends those in progress. If the
+// scheduler has more of them, it sends them once a report shows that these are taken.
+func (a *Agent) applyStarts(o *wire.WorkerOrders, listed map[wire.TaskRun]bool) {
+	known := len(a.pending)
+	for _, s := range o.Starts {
+		r := wire.TaskRun{Task: s.Task, Run: s.Run}
+		listed[r] = true
+		a.applyStart(r, s)
+	}
+	for _, r := range o.OtherStarts {
+		listed[r] = true
+		if p := a.pending[r]; p != nil {
+			a.permitAnew(p)
+		}
+	}
+	if len(o.OtherStarts) > 0 && len(a.pending) > known {
+		a.report()
+	}
+}
+
 func (a *Agent) applyStart(r wire.TaskRun, s wire.StartTask) {
 	if p := a.pending[r]; p != nil {
-		p.permission, p.epoch = a.permission, a.orders.Epoch // these orders permit it anew
+		a.permitAnew(p)
 		return
 	}
 	if _, present := a.running[r]; present || a.refused[r] != "" || a.hasEnded(r) {
@@ -287,6 +305,9 @@
 	a.beginOrder(r, &pending{permission: a.permission}, s)
 }
 
+// permitAnew extends a start in progress to the permission of the current orders.
+func (a *Agent) permitAnew(p *pending) { p.permission, p.epoch = a.permission, a.orders.Epoch }
+
 func (a *Agent) applyStop(r wire.TaskRun) {
 	p := a.pending[r]
 	switch {
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"bramleythread/io/frame"
 	"bramleythread/io/wire"
 )
 
@@ -248,23 +249,33 @@
 	return merged
 }
 
-// reportLoop sends a report at least once per interval.
+// report requests an immediate report to the scheduler. Changes while one is being sent
+// go into the next one together.
+func (a *Agent) report() { a.signal(a.reportNeeded) }
+
+// reportLoop sends a report whenever one is requested, and at least once per interval.
 func (a *Agent) reportLoop(ctx context.Context) {
 	defer a.wg.Done()
 	for ctx.Err() == nil {
-		a.pause(ctx, reportInterval, nil, nil)
-		a.mu.Lock()
-		a.report()
-		a.mu.Unlock()
+		a.pause(ctx, reportInterval, a.reportNeeded, nil)
+		c, m := a.nextReport()
+		if m == nil {
+			continue
+		}
+		if err := c.Send(m); err != nil {
+			a.cfg.Log.Debug().Err(err).Msg("report_not_sent")
+		}
 	}
 }
 
-// report sends the state of the worker to the scheduler. It sends nothing
-// before the worker has been polled with the token of this connection, so that
-// a run that is not listed is certain not to start later.
-func (a *Agent) report() {
+// nextReport returns the state of the worker and the connection on which it is to be
+// sent. It returns nil before the worker has been polled with the token of this
+// connection, so that a run that is not listed is certain not to start later.
+func (a *Agent) nextReport() (*frame.Conn, *wire.WorkerReport) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if a.conn == nil || a.conn.Closed() || a.info.Instance == "" || !a.polled && a.info.State != wire.WorkerGone {
-		return
+		return nil, nil
 	}
 	a.sequence++
 	m := &wire.WorkerReport{
@@ -281,7 +292,5 @@
 		m.Refused = append(m.Refused, wire.RefusedRun{Task: r.Task, Run: r.Run, Reason: reason})
 	}
 	a.cfg.Metrics.observe(len(m.Running), len(m.Ended))
-	if err := a.conn.Send(m); err != nil {
-		a.cfg.Log.Debug().Err(err).Msg("report_not_sent")
-	}
+	return a.conn, m
 }
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -79,7 +79,8 @@
 type system struct {
 	t       *testing.T
 	store   *platform.Standin
-	linked  atomic.Int64 // number of connections of agents to a scheduler
+	linked  atomic.Int64                      // number of connections of agents to a scheduler
+	listen  func(l net.Listener) net.Listener // changes the listeners of entries
 	links   []*storeLink
 	entries []*scheduler.Candidate
 	agents  []*worker.Agent
@@ -122,10 +123,14 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	if s.listen != nil {
+		l = s.listen(l)
+	}
 	entryStore := &storeLink{store: s.store.Store()}
 	s.links = append(s.links, entryStore)
 	cfg := scheduler.Config{
-		Node: fmt.Sprintf("entry-%d", i), Address: l.Addr().(*net.TCPAddr).AddrPort(), Store: entryStore.Store(),
+		Node: fmt.Sprintf("entry-%d", i), Address: address, Store: entryStore.Store(),
 		Log: zerolog.New(io.Discard).Hook(zerolog.HookFunc(func(_ *zerolog.Event, _ zerolog.Level, message string) {
 			if message == "agent_linked" {
 				s.linked.Add(1)
