Take no run for absent while a worker lists only some of its ends

Cause: a run that a worker lists neither as running nor as ended counted as one that never started. A worker lists 500 unacknowledged ends at a time; the runs that ended behind them were ordered again, rejected, stopped, and reported as refused, and their tasks placed anew. Ruled out: a lapsed lease (none lapsed) and lost messages (the test loses none and shows the same). That it happens without a take-over is not shown. Change: a poll and a report tell whether ends may be missing. Meanwhile the agent leaves acknowledged stops open, and the scheduler ends no restored run for being absent, sends no starts of such runs, and moves those that are not listed to a later lifetime of the worker, to be stopped there.

--- a/core/job/engine_test.go
+++ b/core/job/engine_test.go
@@ -21,6 +21,7 @@
 	decisions []Decision
 
 	maxStartsSize int // of the engines
+	maxListedEnds int // of a model's workers; 0 means all
 }
 
 var testStart = time.Date(2027, 6, 1, 8, 0, 0, 0, time.UTC)
--- a/core/job/entity.go
+++ b/core/job/entity.go
@@ -160,6 +160,7 @@
 	reported       bool // this scheduler has received a report on it
 	lastReport     time.Time
 	sequence       uint64
+	moreEnds       bool                            // the latest report may lack ends
 	observedAt     time.Duration                   // when the agent last read the list of runs, on the agent's clock
 	used           wire.Resources                  // by its runs, including those being stopped
 	unexpectedRuns map[wire.TaskRun]wire.Resources // listed by the worker but not in runs
--- a/core/job/model_agent_test.go
+++ b/core/job/model_agent_test.go
@@ -39,6 +39,7 @@
 	running    map[wire.TaskRun]bool
 	unlisted   map[wire.TaskRun]int // when runs were started that no poll has listed
 	ended      []wire.EndedRun
+	moreEnds   bool // the newest applied poll may lack ends
 	pending    map[wire.TaskRun]*modelPending
 	refused    map[wire.TaskRun]bool
 }
@@ -57,7 +58,7 @@
 // reset makes a lifetime of the worker present at its agent.
 func (a *modelAgent) reset(w wire.WorkerInfo) {
 	a.lifetime++
-	a.info, a.polled, a.ended = w, false, nil
+	a.info, a.polled, a.ended, a.moreEnds = w, false, nil, false
 	a.running, a.unlisted = make(map[wire.TaskRun]bool), make(map[wire.TaskRun]int)
 	a.pending, a.refused = make(map[wire.TaskRun]*modelPending), make(map[wire.TaskRun]bool)
 }
@@ -290,6 +291,7 @@
 	ended := slices.DeleteFunc(append(slices.Clone(a.ended), c.ended...), func(e wire.EndedRun) bool { return e.Number <= c.acked })
 	slices.SortFunc(ended, func(x, y wire.EndedRun) int { return cmp.Compare(x.Number, y.Number) })
 	a.ended = slices.CompactFunc(ended, func(x, y wire.EndedRun) bool { return x.Number == y.Number })
+	a.moreEnds = c.moreEnds
 	a.running = make(map[wire.TaskRun]bool)
 	for _, r := range c.listed {
 		a.running[r] = true
@@ -306,8 +308,12 @@
 		if p.stopAckedAt == 0 || c.sent <= p.stopAckedAt || a.running[r] {
 			continue
 		}
+		ended := a.hasEnded(r)
+		if !ended && a.moreEnds {
+			continue
+		}
 		delete(a.pending, r)
-		if !a.hasEnded(r) {
+		if !ended {
 			a.refused[r] = true
 		}
 	}
@@ -321,7 +327,7 @@
 	}
 	a.sequence++
 	r := &wire.WorkerReport{
-		Sequence: a.sequence, Node: a.name, Sent: m.bootTime(), RunningAt: m.bootTime(), Worker: a.info, Ended: slices.Clone(a.ended),
+		Sequence: a.sequence, Node: a.name, Sent: m.bootTime(), RunningAt: m.bootTime(), Worker: a.info, Ended: slices.Clone(a.ended), MoreEnds: a.moreEnds,
 		Pending: sortedRuns(a.pending),
 	}
 	for _, t := range sortedRuns(a.running) {
--- a/core/job/model_test.go
+++ b/core/job/model_test.go
@@ -205,8 +205,17 @@
 func TestDecisionsUnderDelayedMessages(t *testing.T) {
 	setDefaults(t, map[string]string{"rapid.seed": "1", "rapid.checks": "20000", "rapid.steps": "200"})
 	rapid.Check(t, func(rt *rapid.T) {
-		m := newModel(rt, newTestCluster(t))
-		rt.Repeat(m.actions())
+		rt.Repeat(newModel(rt, newTestCluster(t)).actions())
+	})
+}
+
+// TestDecisionsWithEndsInParts plays the same with workers that list one end at a time.
+func TestDecisionsWithEndsInParts(t *testing.T) {
+	setDefaults(t, map[string]string{"rapid.seed": "3", "rapid.checks": "20000", "rapid.steps": "200"})
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newTestCluster(t)
+		f.maxListedEnds = 1
+		rt.Repeat(newModel(rt, f).actions())
 	})
 }
 
@@ -217,7 +226,6 @@
 		f := newTestCluster(t)
 		f.maxStartsSize = 1
 		f.e = New(f.config(), f.now)
-		m := newModel(rt, f)
-		rt.Repeat(m.actions())
+		rt.Repeat(newModel(rt, f).actions())
 	})
 }
--- a/core/job/model_worker_test.go
+++ b/core/job/model_worker_test.go
@@ -54,6 +54,7 @@
 	born     int64 // as answered
 	listed   []wire.TaskRun
 	ended    []wire.EndedRun
+	moreEnds bool
 }
 
 // dial connects a call to the process that listens now.
@@ -112,6 +113,10 @@
 	})
 	c.born, c.listed = w.born, sortedRuns(w.running)
 	for _, e := range w.ended {
+		if n := m.f.maxListedEnds; n > 0 && len(c.ended) == n {
+			c.moreEnds = true
+			break
+		}
 		c.ended = append(c.ended, e.EndedRun)
 	}
 }
--- a/core/job/orders.go
+++ b/core/job/orders.go
@@ -59,7 +59,8 @@
 }
 
 // addStarts adds starts to orders. If they are too large for one message, those that the
-// agent has yet to take come first, and those beyond the limit are only listed.
+// agent has yet to take come first, and those beyond the limit are only listed. So are
+// those of an earlier scheduler that may have ended already.
 func (e *Engine) addStarts(o *wire.WorkerOrders, w *Worker, runs []*run) {
 	starts, total := make([]wire.StartTask, len(runs)), 0
 	for i, r := range runs {
@@ -70,7 +71,8 @@
 	size := 0
 	for i, r := range runs {
 		n := starts[i].Msgsize()
-		if total > limit && (r.startTaken || size > 0 && size+n > limit) {
+		mayHaveEnded := r.restored && !r.startOrdered && w.moreEnds
+		if mayHaveEnded || total > limit && (r.startTaken || size > 0 && size+n > limit) {
 			o.OtherStarts = append(o.OtherStarts, wire.TaskRun{Task: starts[i].Task, Run: r.number})
 			continue
 		}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -41,7 +41,7 @@
 			w.health.recordRefusal(now)
 		}
 	}
-	w.observedAt = r.RunningAt
+	w.observedAt, w.moreEnds = r.RunningAt, r.MoreEnds
 	w.markTakenStarts(r.Pending)
 	e.reconcileRuns(w, r.Running, now)
 	e.endAbsentRestoredRuns(w, r, now)
@@ -105,7 +105,7 @@
 	e.inheritSlowness(w, others)
 	for _, other := range others {
 		if other.Instance == w.Instance {
-			e.moveListedRuns(other, w, r)
+			e.moveRuns(other, w, r)
 		}
 		e.endAllRuns(other, "worker_replaced", now)
 	}
@@ -114,10 +114,11 @@
 	return w
 }
 
-// moveListedRuns moves runs to another lifetime of a worker under the same id, if its
-// report lists them. Their orders were meant for the earlier lifetime and have reached
-// the later one, which cannot tell.
-func (e *Engine) moveListedRuns(from, to *Worker, r *wire.WorkerReport) {
+// moveRuns moves runs to another lifetime of a worker under the same id, if its report
+// lists them. Their orders were meant for the earlier lifetime and have reached the later
+// one, which cannot tell. If the report lacks ends, the other runs are moved too and
+// stopped, since they may be among those that have ended.
+func (e *Engine) moveRuns(from, to *Worker, r *wire.WorkerReport) {
 	listed := make(map[wire.TaskRun]bool, len(r.Running)+len(r.Ended))
 	for _, t := range r.Running {
 		listed[wire.TaskRun{Task: t.Task, Run: t.Run}] = true
@@ -127,7 +128,8 @@
 	}
 	for _, run := range from.sortedRuns() {
 		id, d := run.task.id(), demand(run.task.stage.step)
-		if !listed[wire.TaskRun{Task: id, Run: run.number}] {
+		present := listed[wire.TaskRun{Task: id, Run: run.number}]
+		if !present && !r.MoreEnds {
 			continue
 		}
 		delete(from.runs, id)
@@ -139,6 +141,9 @@
 		}
 		run.startedAt, run.listedAt, run.stalledFor = time.Time{}, 0, 0
 		e.discardObservation(run)
+		if !present {
+			e.stopRun(run, "worker_restarted")
+		}
 		e.markChanged(run.task.stage.job) // its row names the worker's lifetime
 		e.recordDecision(Decision{Kind: "run_moved", Job: id.Job, Task: id, Run: run.number, Worker: to.Node, Reason: "worker_restarted"})
 	}
@@ -212,12 +217,15 @@
 }
 
 // endAbsentRestoredRuns ends the runs placed by an earlier scheduler that are to be
-// stopped, if the worker neither runs them nor can still start them. It cannot start
-// them, because it has acknowledged this scheduler's token, its agent has no pending
-// order for them, and this scheduler has not ordered their start. Such an order may
-// reach the agent after it has sent the report. It is followed by an order to stop,
-// to which the agent reports the end.
+// stopped, if the worker neither runs them nor can still start them, and the report lacks
+// no ends. It cannot start them, because it has acknowledged this scheduler's token, its
+// agent has no pending order for them, and this scheduler has not ordered their start.
+// Such an order may reach the agent after it has sent the report. It is followed by an
+// order to stop, to which the agent reports the end.
 func (e *Engine) endAbsentRestoredRuns(w *Worker, r *wire.WorkerReport, now time.Time) {
+	if r.MoreEnds {
+		return
+	}
 	present := make(map[wire.TaskRun]bool, len(r.Running)+len(r.Pending))
 	for _, t := range r.Running {
 		present[wire.TaskRun{Task: t.Task, Run: t.Run}] = true
--- a/io/wire/job.go
+++ b/io/wire/job.go
@@ -253,6 +253,10 @@
 	Refused   []RefusedRun  `msg:"refused"`
 	Pending   []TaskRun     `msg:"pending"` // starts and stops whose outcome is not yet known
 
+	// MoreEnds is set if runs may have ended that Ended does not hold yet. Whether a run
+	// that is not listed has ended is not known then.
+	MoreEnds bool `msg:"more_ends,omitempty"`
+
 	Slowness *WorkerSlowness `msg:"slowness,omitempty"` // from the latest orders that held one
 }
 
--- a/io/wire/job_gen.go
+++ b/io/wire/job_gen.go
@@ -3735,13 +3735,17 @@
 func (z *WorkerReport) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
-	if z.Slowness == nil {
+	if z.MoreEnds == false {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Slowness == nil {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -3814,6 +3818,11 @@
 			o = msgp.AppendInt(o, z.Pending[za0004].Run)
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "more_ends"
+			o = append(o, 0xa9, 0x6d, 0x6f, 0x72, 0x65, 0x5f, 0x65, 0x6e, 0x64, 0x73)
+			o = msgp.AppendBool(o, z.MoreEnds)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "slowness"
 			o = append(o, 0xa8, 0x73, 0x6c, 0x6f, 0x77, 0x6e, 0x65, 0x73, 0x73)
 			if z.Slowness == nil {
@@ -4009,6 +4018,12 @@
 					return
 				}
 			}
+		case "more_ends":
+			z.MoreEnds, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MoreEnds")
+				return
+			}
 		case "slowness":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -4056,7 +4071,7 @@
 	for za0004 := range z.Pending {
 		s += 1 + z.Pending[za0004].Task.Msgsize() + msgp.IntSize
 	}
-	s += 9
+	s += 10 + msgp.BoolSize + 9
 	if z.Slowness == nil {
 		s += msgp.NilSize
 	} else {
--- a/io/worker/agent.go
+++ b/io/worker/agent.go
@@ -79,6 +79,7 @@
 	running          map[wire.TaskRun]wire.RunningTask
 	unlistedStarts   map[wire.TaskRun]time.Time // start times of runs that no poll has listed yet
 	ended            []wire.EndedRun
+	moreEnds         bool // the latest poll may lack ends
 	refused          map[wire.TaskRun]string
 	pending          map[wire.TaskRun]*pending
 	startCalls       int       // start calls that have not returned
@@ -156,7 +157,7 @@
 	a.polled = false
 	a.announceSequence = 0
 	a.clock, a.clockAt = 0, time.Time{}
-	a.ended = nil
+	a.ended, a.moreEnds = nil, false
 	clear(a.running)
 	clear(a.unlistedStarts)
 	clear(a.refused)
--- a/io/worker/hold.go
+++ b/io/worker/hold.go
@@ -200,7 +200,7 @@
 	a.polledAt = sent
 	a.setClock(reply.Clock, time.Now())
 	changed := !a.polled
-	a.ended = mergeEnds(a.ended, reply.Ended, o.Acked)
+	a.ended, a.moreEnds = mergeEnds(a.ended, reply.Ended, o.Acked), reply.MoreEnds
 	running := a.mergeRunning(reply.Running, sent)
 	for r, t := range running {
 		changed = changed || a.running[r] != t
@@ -279,7 +279,7 @@
 	}
 	a.sequence++
 	m := &wire.WorkerReport{
-		Sequence: a.sequence, Node: a.cfg.Node, Sent: a.cfg.BootTime(), RunningAt: a.polledAt.Sub(a.start), Worker: a.info, Ended: a.ended,
+		Sequence: a.sequence, Node: a.cfg.Node, Sent: a.cfg.BootTime(), RunningAt: a.polledAt.Sub(a.start), Worker: a.info, Ended: a.ended, MoreEnds: a.moreEnds,
 		Slowness: a.slowness,
 	}
 	for _, t := range a.running {
--- a/io/worker/order.go
+++ b/io/worker/order.go
@@ -114,7 +114,8 @@
 
 // resolveStops completes the acknowledged stops of runs that a later poll of the
 // worker does not list as running. Such a run will never start. If it has not
-// ended either, it is reported as refused.
+// ended either, it is reported as refused. While the worker does not list all ends,
+// that is not known.
 func (a *Agent) resolveStops(polledAt time.Time) {
 	for r, p := range a.pending {
 		if !p.stopAcked || !polledAt.After(p.stopAckedAt) {
@@ -123,8 +124,12 @@
 		if _, present := a.running[r]; present {
 			continue
 		}
+		ended := a.hasEnded(r)
+		if !ended && a.moreEnds {
+			continue
+		}
 		delete(a.pending, r)
-		if !a.hasEnded(r) {
+		if !ended {
 			a.refused[r] = p.reason
 		}
 	}
--- a/io/worker/standin.go
+++ b/io/worker/standin.go
@@ -16,6 +16,7 @@
 	DefaultRunTime time.Duration // for a task whose spec is not a duration
 	MaxLease       time.Duration // longest lease; the worker shortens longer ones
 	StopDelay      time.Duration // time from a stop request to the end of the run
+	MaxListedEnds  int           // ends that one response lists; 0 means all
 }
 
 // StandinFaults are the failures that a stand-in simulates. The zero value
@@ -363,6 +364,9 @@
 
 func (s *Standin) reply(now time.Time) HoldReply {
 	reply := HoldReply{Clock: now.Sub(s.start), Born: s.cfg.Info.Born, Ended: append([]wire.EndedRun(nil), s.ended...)}
+	if n := s.cfg.MaxListedEnds; n > 0 && len(reply.Ended) > n {
+		reply.Ended, reply.MoreEnds = reply.Ended[:n], true
+	}
 	for id, r := range s.runs {
 		t := wire.RunningTask{Task: id, Run: r.number}
 		if total := r.doneAt.Sub(r.startedAt); total > 0 && !s.faults.HangRuns {
--- a/io/worker/system_test.go
+++ b/io/worker/system_test.go
@@ -88,18 +88,24 @@
 }
 
 func newSystem(t *testing.T, entries, workers int) *system {
+	return newSystemWith(t, entries, workers, func(*worker.StandinConfig) {})
+}
+
+func newSystemWith(t *testing.T, entries, workers int, change func(cfg *worker.StandinConfig)) *system {
 	s := &system{t: t, store: platform.NewStandin()}
 	for range entries {
 		s.startEntry()
 	}
 	for i := range workers {
-		w := worker.NewStandin(worker.StandinConfig{
+		cfg := worker.StandinConfig{
 			Info: wire.WorkerInfo{
 				Instance: fmt.Sprintf("i-%d", i), Born: 1, Service: "podcheck", Rack: "rack", Labels: []string{"a", "rack"},
 				Capacity: wire.Resources{CPU: 8000, Memory: 8000, Accelerators: 8}, State: wire.WorkerReady,
 			},
 			DefaultRunTime: 50 * time.Millisecond, MaxLease: 6 * time.Second, StopDelay: 20 * time.Millisecond,
-		})
+		}
+		change(&cfg)
+		w := worker.NewStandin(cfg)
 		s.workers = append(s.workers, w)
 		s.agents = append(s.agents, nil)
 		s.startAgent(i)
--- a/io/worker/worker.go
+++ b/io/worker/worker.go
@@ -63,7 +63,11 @@
 	Clock   time.Duration // current time on the worker's clock
 	Born    int64
 	Running []wire.RunningTask
-	Ended   []wire.EndedRun
+	Ended   []wire.EndedRun // that are not acknowledged, in the order of their numbers
+
+	// MoreEnds is set if Ended may lack the last ones, because a response lists a limited
+	// number.
+	MoreEnds bool
 }
 
 // Announcement is the state that a worker sends on its own initiative.
